--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: benchmarks, capacity slopes, and the build of the binary."""
--- /dev/null
+++ b/src/cassiaford/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line as ``python -m cassiaford``."""
+
+from cassiaford.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cassiaford/engines/__init__.py
@@ -0,0 +1,37 @@
+"""What the system says to model engines and hears from them."""
+
+from cassiaford.engines._prompt import (
+    BLOCK_BYTES,
+    BYTES_PER_TOKEN,
+    block_chain,
+    cache_scope,
+    prompt_text,
+)
+from cassiaford.engines._protocol import (
+    CacheEvent,
+    CacheEventKind,
+    CacheEvents,
+    EngineControl,
+    EngineError,
+    LoadReport,
+    Order,
+    OrderAction,
+    OrderAnswer,
+)
+
+__all__ = [
+    "BLOCK_BYTES",
+    "BYTES_PER_TOKEN",
+    "CacheEvent",
+    "CacheEventKind",
+    "CacheEvents",
+    "EngineControl",
+    "EngineError",
+    "LoadReport",
+    "Order",
+    "OrderAction",
+    "OrderAnswer",
+    "block_chain",
+    "cache_scope",
+    "prompt_text",
+]
--- /dev/null
+++ b/src/cassiaford/keyvalue/_service.py
@@ -0,0 +1,97 @@
+"""What the system asks of the platform's key-value service."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+
+class KeyValueError(Exception):
+    """A call to the key-value service failed."""
+
+
+class UnavailableError(KeyValueError):
+    """The service did not get the call, or refused it; nothing took effect."""
+
+
+class OutcomeUnknownError(KeyValueError):
+    """The call was sent and its answer lost; a write may have taken effect."""
+
+
+@dataclass(frozen=True)
+class Entry:
+    """A value with its version; version 0 stands for an absent key."""
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+@dataclass(frozen=True)
+class CasResult:
+    """The result of a compare-and-swap, with the entry now in force."""
+
+    swapped: bool
+    entry: Entry
+
+
+@dataclass(frozen=True)
+class Lease:
+    """A lease; it lapses `ttl_s` seconds after its last renewal."""
+
+    lease_id: str
+    ttl_s: float
+
+
+@dataclass(frozen=True)
+class InstanceRecord:
+    """One line of the platform's lagging list of instances."""
+
+    instance: str
+    incarnation: int
+    data_centre: str
+    http_address: str
+    peer_address: str
+    leaving: bool
+
+
+class KeyValueService(ABC):
+    """The platform's key-value service, as far as the system uses it.
+
+    Every method is one call to the service and blocks until it has its
+    answer. Reads raise `UnavailableError` when they fail. Writes raise
+    `UnavailableError` if they cannot have taken effect and
+    `OutcomeUnknownError` otherwise.
+    """
+
+    @abstractmethod
+    def get(self, key: str) -> Entry:
+        """Return the entry of a key; an absent key has version 0."""
+
+    @abstractmethod
+    def list(self, prefix: str) -> tuple[Entry, ...]:
+        """Return the entries whose key starts with a prefix, by key."""
+
+    @abstractmethod
+    def compare_and_swap(
+        self, key: str, value: bytes | None, version: int, lease: Lease | None = None
+    ) -> CasResult:
+        """Set a key if its version is still `version`.
+
+        A `value` of None deletes the key. An entry written under a lease is
+        deleted when the lease lapses.
+        """
+
+    @abstractmethod
+    def watch(self, key: str, version: int, timeout_s: float) -> Entry:
+        """Return the entry once its version differs, or after the timeout."""
+
+    @abstractmethod
+    def grant_lease(self, ttl_s: float) -> Lease:
+        """Return a new lease."""
+
+    @abstractmethod
+    def renew_lease(self, lease: Lease) -> bool:
+        """Renew a lease; return whether it was still held."""
+
+    @abstractmethod
+    def revoke_lease(self, lease: Lease) -> None:
+        """End a lease and delete what was written under it."""
--- /dev/null
+++ b/src/cassiaford/logs/_catalogue.py
@@ -0,0 +1,62 @@
+"""The catalogue of numbered events.
+
+A number is never given a second meaning. docs/EVENTS.md says of each what it
+means and what an operator does; a test holds the two together.
+"""
+
+import enum
+
+
+class Level(enum.Enum):
+    """How much an event matters to an operator."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class Event(enum.Enum):
+    """A numbered event: its number, its level, and its text."""
+
+    # 10xx: the process.
+    INSTANCE_STARTED = (1001, Level.INFO, "instance started")
+    INSTANCE_READY = (1002, Level.INFO, "instance ready to serve")
+    DRAIN_STARTED = (1003, Level.INFO, "graceful shutdown started")
+    DRAIN_FINISHED = (1004, Level.INFO, "graceful shutdown finished")
+    DRAIN_CUT_SHORT = (1005, Level.ERROR, "graceful shutdown cut short")
+    THREAD_FAILED = (1006, Level.ERROR, "background thread failed and goes on")
+
+    # 11xx: configuration and keys.
+    REVISION_IN_FORCE = (1101, Level.INFO, "configuration revision in force")
+    KEY_WITHDRAWN = (1102, Level.INFO, "key withdrawn")
+    CONFIGURATION_STALE = (1103, Level.ERROR, "no word from service or peers")
+    CONFIGURATION_FRESH = (1104, Level.INFO, "word from service or peers again")
+
+    # 12xx: requests.
+    REQUEST_RECEIVED = (1201, Level.DEBUG, "request received")
+    REQUEST_REFUSED = (1202, Level.INFO, "request refused")
+    REQUEST_PLACED = (1203, Level.DEBUG, "request sent to backend server")
+    REQUEST_COMPLETED = (1204, Level.INFO, "request completed")
+    REQUEST_FAILED = (1205, Level.WARNING, "request failed after its start")
+    REQUEST_RETRIED = (1206, Level.INFO, "request sent again")
+    CALLER_LEFT = (1207, Level.INFO, "caller closed the connection")
+
+    # 18xx: the key-value service.
+    KEY_VALUE_LOST = (1801, Level.WARNING, "key-value service does not answer")
+    KEY_VALUE_BACK = (1802, Level.INFO, "key-value service answers again")
+
+    @property
+    def number(self) -> int:
+        """The number, written ``CF1202`` in logs."""
+        return self.value[0]
+
+    @property
+    def level(self) -> Level:
+        """How much the event matters."""
+        return self.value[1]
+
+    @property
+    def text(self) -> str:
+        """What happened, in a few words."""
+        return self.value[2]
--- /dev/null
+++ b/src/cassiaford/logs/_output.py
@@ -0,0 +1,66 @@
+"""Writing log lines through `absl.logging`, as text or as JSON lines."""
+
+import json
+import logging as standard_logging
+import sys
+
+from absl import logging
+
+from cassiaford.logs._catalogue import Level
+
+_ABSL_LEVELS = {
+    Level.DEBUG: logging.DEBUG,
+    Level.INFO: logging.INFO,
+    Level.WARNING: logging.WARNING,
+    Level.ERROR: logging.ERROR,
+}
+
+
+class _JsonFormatter(standard_logging.Formatter):
+    """Formats a log record as one line of JSON."""
+
+    def format(self, record):
+        line = {
+            "time": round(record.created, 6),
+            "level": record.levelname.lower(),
+            "message": record.getMessage(),
+        }
+        line.update(getattr(record, "event_fields", {}))
+        return json.dumps(line)
+
+
+class _TextFormatter(standard_logging.Formatter):
+    """Formats a log record as one line of text with its fields at the end."""
+
+    default_msec_format = "%s.%03d"
+
+    def format(self, record):
+        fields = getattr(record, "event_fields", {})
+        pairs = "".join(f" {name}={_quoted(fields[name])}" for name in fields)
+        time = self.formatTime(record)
+        return f"{time} {record.levelname[0]} {record.getMessage()}{pairs}"
+
+
+def configure_logging(form: str, level: str) -> None:
+    """Send log lines of at least a level to standard error in a form."""
+    handler = logging.get_absl_handler()
+    formatter = _JsonFormatter() if form == "json" else _TextFormatter()
+    handler.setFormatter(formatter)
+    handler.python_handler.stream = sys.stderr
+    logging.use_absl_handler()
+    logging.set_verbosity(_ABSL_LEVELS[Level(level)])
+
+
+def write_line(level: Level, message: str, fields: dict[str, object]) -> None:
+    """Write one log line; `fields` are appended as name and value."""
+    standard_logging.getLogger("absl").log(
+        logging.converter.absl_to_standard(_ABSL_LEVELS[level]),
+        "%s",
+        message,
+        extra={"event_fields": fields},
+    )
+
+
+def _quoted(value):
+    text = str(value)
+    return json.dumps(text) if not text or " " in text or "=" in text else text
--- /dev/null
+++ b/src/cassiaford/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and latency percentiles of one process."""
--- /dev/null
+++ b/src/cassiaford/pipeline/__init__.py
@@ -0,0 +1,3 @@
+"""The way of a request: receive, authenticate, admit, claim, place, forward,
+relay, settle.
+"""
--- /dev/null
+++ b/src/cassiaford/policy/_placement.py
@@ -0,0 +1,84 @@
+"""What a placement policy is told and what it decides."""
+
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from cassiaford.engines import CacheEvents, LoadReport
+
+
+@dataclass(frozen=True)
+class ServerView:
+    """What an instance knows for certain about a backend server.
+
+    `in_flight` counts the requests that this instance has running there;
+    `suspected` says that its newest calls failed.
+    """
+
+    name: str
+    slots: int
+    in_flight: int = 0
+    suspected: bool = False
+
+
+@dataclass(frozen=True)
+class PlacementRequest:
+    """A request that needs a backend server.
+
+    `chain` holds the block hashes of the prompt, outermost first. `excluded`
+    names servers that have failed this request already.
+    """
+
+    request_id: str
+    prompt_tokens: int
+    max_output: int
+    chain: tuple[int, ...] = field(default=(), repr=False)
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True)
+class Placement:
+    """The backend server chosen for a request.
+
+    `cached_tokens` is the part of the prompt expected in the server's cache,
+    `expected_wait_s` the expected time to the first token.
+    """
+
+    server: str
+    cached_tokens: int = 0
+    expected_wait_s: float = 0.0
+
+
+class PlacementPolicy(ABC):
+    """Chooses backend servers and learns from what became of requests."""
+
+    @abstractmethod
+    def place(
+        self,
+        request: PlacementRequest,
+        servers: Sequence[ServerView],
+        now: float,
+        rng: random.Random,
+    ) -> Placement | None:
+        """Return the choice, or None if no server may take the request now."""
+
+    def started(
+        self, placement: Placement, request: PlacementRequest, now: float
+    ) -> None:
+        """Take note that a request was sent to the chosen server."""
+
+    def first_token(self, request_id: str, now: float) -> None:
+        """Take note that the prompt of a request has been computed."""
+
+    def finished(self, request_id: str, now: float) -> None:
+        """Take note that a request has ended on its server, however."""
+
+    def observe_load(self, server: str, report: LoadReport, now: float) -> None:
+        """Take in a load report."""
+
+    def observe_events(self, server: str, events: CacheEvents, now: float) -> None:
+        """Take in cache events."""
+
+    def forget(self, server: str) -> None:
+        """Drop every belief about a server that left or came back empty."""
--- /dev/null
+++ b/src/cassiaford/settings/__init__.py
@@ -0,0 +1,25 @@
+"""The settings of one process, read from a TOML file and checked as a whole."""
+
+from cassiaford.settings._load import SettingsError, load_settings, parse_settings
+from cassiaford.settings._model import (
+    ControlSettings,
+    HttpSettings,
+    KeyValueSettings,
+    LimitSettings,
+    LogSettings,
+    PeerSettings,
+    Settings,
+)
+
+__all__ = [
+    "ControlSettings",
+    "HttpSettings",
+    "KeyValueSettings",
+    "LimitSettings",
+    "LogSettings",
+    "PeerSettings",
+    "Settings",
+    "SettingsError",
+    "load_settings",
+    "parse_settings",
+]
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the backend servers and the callers."""
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,54 @@
+"""Runs every test and reports known faults apart.
+
+A test listed in KNOWN-RED.txt may fail; it is printed, and the run passes if
+nothing else fails. A listed test that passes fails the run, so that the list
+stays true. A skipped test counts as failed.
+"""
+
+import pathlib
+import sys
+
+from nose2.main import PluggableTestProgram
+
+from tests.outcomes import OutcomePlugin
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+
+def known_red():
+    """Return the identifiers of the tests that are known to fail."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text("utf-8").splitlines()
+    return {line.split()[1] for line in lines if line.startswith("test ")}
+
+
+def run_tests(names):
+    """Run the tests with these names, or all of them."""
+    arguments = ["nose2", "-s", "tests", "-t", str(ROOT), "-v", *names]
+    PluggableTestProgram(
+        module=None, argv=arguments, plugins=["tests.outcomes"], exit=False
+    )
+
+
+def main(names):
+    """Run the tests, print the tally and return the exit status."""
+    run_tests(names)
+    listed = known_red()
+    ran, failed = OutcomePlugin.ran, OutcomePlugin.failed
+    for name in sorted(failed & listed):
+        print(f"KNOWN RED {name}")
+    wrongly_listed = (listed & ran) - failed
+    if not names:
+        wrongly_listed |= listed - ran
+    for name in sorted(wrongly_listed):
+        print(f"LISTED AS RED BUT NOT FAILED {name}")
+    bad = failed - listed
+    print(f"{len(failed & listed)} known red")
+    print(f"{len(ran) - len(failed)} passed, {len(bad)} failed")
+    return 0 if ran and not bad and not wrongly_listed else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
