--- a/src/cassiaford/keyvalue/__init__.py
+++ b/src/cassiaford/keyvalue/__init__.py
@@ -1,8 +1,15 @@
 """The platform's key-value service and its lagging list of instances."""
 
+from cassiaford.keyvalue._http import (
+    HttpInstanceList,
+    HttpKeyValueService,
+    connect_instance_list,
+    connect_key_value,
+)
 from cassiaford.keyvalue._service import (
     CasResult,
     Entry,
+    InstanceList,
     InstanceRecord,
     KeyValueError,
     KeyValueService,
@@ -14,10 +21,15 @@
 __all__ = [
     "CasResult",
     "Entry",
+    "HttpInstanceList",
+    "HttpKeyValueService",
+    "InstanceList",
     "InstanceRecord",
     "KeyValueError",
     "KeyValueService",
-    "UnavailableError",
     "Lease",
     "OutcomeUnknownError",
+    "UnavailableError",
+    "connect_instance_list",
+    "connect_key_value",
 ]
--- /dev/null
+++ b/src/cassiaford/keyvalue/_http.py
@@ -0,0 +1,185 @@
+"""The key-value service and the list of instances over HTTP.
+
+docs/INTERFACES.md has the formats.
+"""
+
+import base64
+import binascii
+from collections.abc import Callable
+from typing import TypeVar
+from urllib.parse import quote, urlencode
+
+from pydantic import TypeAdapter, ValidationError
+
+from cassiaford._json_calls import Answer, AnswerLostError, CallError, JsonCaller
+from cassiaford.keyvalue._service import (
+    CasResult,
+    Entry,
+    InstanceList,
+    InstanceRecord,
+    KeyValueService,
+    Lease,
+    OutcomeUnknownError,
+    UnavailableError,
+)
+from cassiaford.settings import KeyValueSettings
+
+_T = TypeVar("_T")
+_RECORDS = TypeAdapter(tuple[InstanceRecord, ...])
+
+
+def connect_key_value(settings: KeyValueSettings) -> KeyValueService:
+    """Return a client of the key-value service; it connects when first used."""
+    return HttpKeyValueService(settings.address, JsonCaller(settings.timeout_s))
+
+
+def connect_instance_list(settings: KeyValueSettings) -> InstanceList:
+    """Return a client of the list of instances; it connects when first used."""
+    return HttpInstanceList(settings.list_address, JsonCaller(settings.timeout_s))
+
+
+class HttpKeyValueService(KeyValueService):
+    """The key-value service behind its HTTP interface."""
+
+    def __init__(self, address: str, caller: JsonCaller):
+        self.address = address
+        self.caller = caller
+
+    def get(self, key: str) -> Entry:
+        """Return the entry of a key; an absent key has version 0."""
+        return self._read(f"/v1/kv/{quote(key)}", _entry)
+
+    def list(self, prefix: str) -> tuple[Entry, ...]:
+        """Return the entries whose key starts with a prefix, by key."""
+        query = urlencode({"prefix": prefix})
+        return self._read(f"/v1/kv?{query}", _entries)
+
+    def compare_and_swap(
+        self, key: str, value: bytes | None, version: int, lease: Lease | None = None
+    ) -> CasResult:
+        """Set a key if its version is still `version`."""
+        body = {
+            "key": key,
+            "value": None if value is None else base64.b64encode(value).decode(),
+            "version": version,
+            "lease": lease.lease_id if lease else None,
+        }
+        return self._write("POST", "/v1/cas", body, _cas_result)
+
+    def watch(self, key: str, version: int, timeout_s: float) -> Entry:
+        """Return the entry once its version differs, or after the timeout."""
+        query = urlencode({"version": version, "timeout": timeout_s})
+        return self._read(f"/v1/watch/{quote(key)}?{query}", _entry, timeout_s)
+
+    def grant_lease(self, ttl_s: float) -> Lease:
+        """Return a new lease."""
+        return self._write("POST", "/v1/leases", {"ttl_s": ttl_s}, _lease)
+
+    def renew_lease(self, lease: Lease) -> bool:
+        """Renew a lease; return whether it was still held."""
+        target = f"/v1/leases/{quote(lease.lease_id)}/renew"
+        return self._write("POST", target, {}, _held)
+
+    def revoke_lease(self, lease: Lease) -> None:
+        """End a lease and delete what was written under it."""
+        target = f"/v1/leases/{quote(lease.lease_id)}"
+        self._write("DELETE", target, None, lambda answer: None)
+
+    def close(self) -> None:
+        """Close the connections that are not in use."""
+        self.caller.close()
+
+    def _read(self, target, decode, wait_s=0.0):
+        return _read(self.caller, self.address, target, decode, wait_s)
+
+    def _write(self, method, target, body, decode):
+        try:
+            answer = self.caller.call(method, self.address, target, body)
+            _check_status(answer)
+            return _decode(decode, answer)
+        except CallError as error:
+            kind = OutcomeUnknownError if error.sent else UnavailableError
+            raise kind(str(error)) from error
+
+
+class HttpInstanceList(InstanceList):
+    """The list of instances behind its HTTP interface."""
+
+    def __init__(self, address: str, caller: JsonCaller):
+        self.address = address
+        self.caller = caller
+
+    def fetch(self) -> tuple[InstanceRecord, ...]:
+        """Return the instances on the list."""
+        return _read(self.caller, self.address, "/v1/instances", _instances)
+
+    def close(self) -> None:
+        """Close the connections that are not in use."""
+        self.caller.close()
+
+
+def _read(
+    caller: JsonCaller,
+    address: str,
+    target: str,
+    decode: Callable[[Answer], _T],
+    wait_s: float = 0.0,
+) -> _T:
+    try:
+        answer = caller.call("GET", address, target, wait_s=wait_s)
+        _check_status(answer)
+        return _decode(decode, answer)
+    except CallError as error:
+        raise UnavailableError(str(error)) from error
+
+
+def _check_status(answer):
+    """Raise unless the call succeeded.
+
+    The service answers 503, or a status in the 400s, only to a call that had
+    no effect; after any other failure a write may have taken effect.
+    """
+    if 200 <= answer.status < 300:
+        return
+    if answer.status == 503 or 400 <= answer.status < 500:
+        raise UnavailableError(f"the service answered {answer.status}")
+    raise AnswerLostError(f"the service answered {answer.status}")
+
+
+def _decode(decode, answer):
+    try:
+        return decode(answer)
+    except (KeyError, TypeError, binascii.Error, ValidationError) as error:
+        raise AnswerLostError(f"the answer has an unknown form: {error!r}") from error
+
+
+def _entry(answer):
+    return _entry_of(answer.json())
+
+
+def _entries(answer):
+    return tuple(_entry_of(entry) for entry in answer.json()["entries"])
+
+
+def _entry_of(document):
+    value = document["value"]
+    decoded = None if value is None else base64.b64decode(value, validate=True)
+    return Entry(document["key"], decoded, document["version"])
+
+
+def _cas_result(answer):
+    document = answer.json()
+    return CasResult(document["swapped"], _entry_of(document["entry"]))
+
+
+def _lease(answer):
+    document = answer.json()
+    return Lease(document["lease_id"], document["ttl_s"])
+
+
+def _held(answer):
+    return answer.json()["held"]
+
+
+def _instances(answer):
+    return _RECORDS.validate_python(answer.json()["instances"])
--- a/src/cassiaford/keyvalue/_service.py
+++ b/src/cassiaford/keyvalue/_service.py
@@ -95,3 +95,17 @@
     @abstractmethod
     def revoke_lease(self, lease: Lease) -> None:
         """End a lease and delete what was written under it."""
+
+    def close(self) -> None:
+        """Give up what the client holds, such as kept connections."""
+
+
+class InstanceList(ABC):
+    """The platform's lagging list of live and leaving instances."""
+
+    @abstractmethod
+    def fetch(self) -> tuple[InstanceRecord, ...]:
+        """Return the instances on the list; raise `UnavailableError` on failure."""
+
+    def close(self) -> None:
+        """Give up what the client holds, such as kept connections."""
--- /dev/null
+++ b/standins/_http.py
@@ -0,0 +1,221 @@
+"""A small HTTP server for the stand-ins: one event loop, many connections.
+
+Parsing is httptools'; here is only what a stand-in needs to misbehave on
+purpose: closing without an answer, and connections that go silent.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import http.client
+import json
+import os
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from urllib.parse import parse_qsl, unquote
+
+import httptools
+
+PARENT_CHECK_INTERVAL_S = 0.25
+JSON_HEADERS = (("Content-Type", "application/json"),)
+
+
+@dataclass(frozen=True)
+class Response:
+    """An answer with its whole body; the connection is kept."""
+
+    status: int = 200
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True)
+class Request:
+    """A request as it came; header names are in lower case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes = field(repr=False)
+    connection: "Connection" = field(repr=False)
+
+    def json(self) -> dict:
+        """Return the decoded body, an empty one as an empty object."""
+        return json.loads(self.body or b"{}")
+
+
+# Returns None after having dealt with the connection by itself.
+Handler = Callable[[Request], Awaitable[Response | None]]
+
+
+def json_response(document: object, status: int = 200, headers=()) -> Response:
+    """Return an answer with a JSON body."""
+    return Response(status, json.dumps(document).encode(), (*JSON_HEADERS, *headers))
+
+
+class Connection(asyncio.Protocol):
+    """One connection; its requests are answered one after the other."""
+
+    def __init__(self, server: "HttpServer"):
+        self.server = server
+        self.closed = asyncio.Event()
+        self.silent = False
+        self.requests = asyncio.Queue()
+        self.parser = httptools.HttpRequestParser(self)
+        self.transport = None
+        self.task = None
+        self._start_message()
+
+    def connection_made(self, transport):
+        """Start to answer the requests of a new connection."""
+        self.transport = transport
+        self.server.connections.add(self)
+        self.task = asyncio.get_running_loop().create_task(self._answer_requests())
+
+    def connection_lost(self, exc):
+        """End the work on the connection."""
+        self.closed.set()
+        self.server.connections.discard(self)
+        if self.task and not self.requests.empty():
+            self.task.cancel()
+        self.requests.put_nowait(None)
+
+    def data_received(self, data):
+        """Parse what arrived."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.close()
+
+    def on_url(self, url):
+        """Take a part of the target."""
+        self._url += url
+
+    def on_header(self, name, value):
+        """Take one header."""
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body):
+        """Take a part of the body."""
+        self._body += body
+
+    def on_message_complete(self):
+        """Queue the request for its answer."""
+        url = httptools.parse_url(bytes(self._url))
+        request = Request(
+            method=self.parser.get_method().decode(),
+            path=unquote((url.path or b"/").decode("latin-1")),
+            query=dict(parse_qsl((url.query or b"").decode("latin-1"))),
+            headers=self._headers,
+            body=bytes(self._body),
+            connection=self,
+        )
+        self._start_message()
+        self.requests.put_nowait(request)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes, unless the connection is closed or silent."""
+        if not self.silent and not self.closed.is_set():
+            self.transport.write(data)
+
+    def write_head(self, status: int, headers) -> None:
+        """Send the head of an answer."""
+        reason = http.client.responses.get(status, "Unknown")
+        lines = [f"HTTP/1.1 {status} {reason}"]
+        lines.extend(f"{name}: {value}" for name, value in headers)
+        self.write(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
+
+    def write_chunk(self, data: bytes) -> None:
+        """Send one chunk of a chunked body; an empty one ends it."""
+        self.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def go_silent(self) -> None:
+        """Send and receive nothing more, but stay open."""
+        self.silent = True
+        self.transport.pause_reading()
+
+    def abort(self) -> None:
+        """Close at once, without an answer."""
+        self.transport.abort()
+
+    def _start_message(self):
+        self._url = bytearray()
+        self._headers = {}
+        self._body = bytearray()
+
+    async def _answer_requests(self):
+        while request := await self.requests.get():
+            response = await self.server.answer(request)
+            if response is not None:
+                length = ("Content-Length", str(len(response.body)))
+                self.write_head(response.status, (*response.headers, length))
+                self.write(response.body)
+
+
+class HttpServer:
+    """Serves one handler on one address."""
+
+    def __init__(self, handler: Handler):
+        self.handler = handler
+        self.connections: set[Connection] = set()
+
+    async def start(self, address: str) -> asyncio.Server:
+        """Listen on an address."""
+        host, port = address.rsplit(":", 1)
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(
+            lambda: Connection(self), host, int(port), backlog=1024
+        )
+
+    async def answer(self, request: Request) -> Response | None:
+        """Return the handler's answer, or an error in its place."""
+        try:
+            return await self.handler(request)
+        except (ValueError, KeyError) as error:
+            return json_response({"error": repr(error)}, 400)
+
+    def silence(self, spared: Connection) -> int:
+        """Make all open connections but one go silent; return their number."""
+        chosen = [
+            connection for connection in self.connections if connection is not spared
+        ]
+        for connection in chosen:
+            connection.go_silent()
+        return len(chosen)
+
+
+def address_parser(description: str) -> argparse.ArgumentParser:
+    """Return a parser of command lines with the option for the address."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--address", required=True, help="such as 127.0.0.1:9000")
+    return parser
+
+
+def run_server(server: HttpServer, address: str, *background) -> None:
+    """Serve until SIGTERM arrives or the parent process is gone.
+
+    `background` are functions that return coroutines to run beside.
+    """
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(_serve(server, address, background))
+
+
+async def _serve(server, address, background):
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    listening = await server.start(address)
+    tasks = [loop.create_task(function()) for function in background]
+    tasks.append(loop.create_task(_stop_with_parent(os.getppid(), stopped)))
+    await stopped.wait()
+    listening.close()
+    for task in tasks:
+        task.cancel()
+
+
+async def _stop_with_parent(parent, stopped):
+    while os.getppid() == parent:
+        await asyncio.sleep(PARENT_CHECK_INTERVAL_S)
+    stopped.set()
--- /dev/null
+++ b/standins/instance_list.py
@@ -0,0 +1,57 @@
+"""Stand-in for the platform's list of instances, which shows changes late."""
+
+import asyncio
+
+from standins._http import (
+    HttpServer,
+    Request,
+    Response,
+    address_parser,
+    json_response,
+    run_server,
+)
+
+PREFIX = "/v1/instances/"
+
+
+class InstanceListStandIn:
+    """A list that takes `lag_s` seconds to show a change."""
+
+    def __init__(self, lag_s: float):
+        self.lag_s = lag_s
+        self.records = {}
+        self.down = False
+
+    async def handle(self, request: Request) -> Response | None:
+        """Answer one call."""
+        if request.path == "/control/faults":
+            self.down = bool(request.json()["down"])
+            return json_response({"down": self.down})
+        if self.down:
+            return json_response({"error": "unavailable"}, 503)
+        if request.method == "GET" and request.path == PREFIX.rstrip("/"):
+            return json_response({"instances": list(self.records.values())})
+        name = request.path.removeprefix(PREFIX)
+        if request.method == "PUT":
+            self._later(self.records.__setitem__, name, request.json())
+            return Response(204)
+        if request.method == "DELETE":
+            self._later(self.records.pop, name, None)
+            return Response(204)
+        return json_response({"error": "unknown call"}, 404)
+
+    def _later(self, change, *arguments):
+        asyncio.get_running_loop().call_later(self.lag_s, change, *arguments)
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = address_parser(__doc__)
+    parser.add_argument("--lag-s", type=float, default=2.0)
+    arguments = parser.parse_args()
+    stand_in = InstanceListStandIn(arguments.lag_s)
+    run_server(HttpServer(stand_in.handle), arguments.address)
+
+
+if __name__ == "__main__":
+    main()
