--- a/src/cassiaford/engines/__init__.py
+++ b/src/cassiaford/engines/__init__.py
@@ -1,5 +1,7 @@
 """What the system says to model engines and hears from them."""
 
+from cassiaford.engines._http import HttpEngineControl, create_engine_control
+from cassiaford.engines._poller import EngineObserver, EnginePoller, create_poller
 from cassiaford.engines._prompt import (
     BLOCK_BYTES,
     BYTES_PER_TOKEN,
@@ -27,11 +29,16 @@
     "CacheEvents",
     "EngineControl",
     "EngineError",
+    "EngineObserver",
+    "EnginePoller",
+    "HttpEngineControl",
     "LoadReport",
     "Order",
     "OrderAction",
     "OrderAnswer",
     "block_chain",
     "cache_scope",
+    "create_engine_control",
+    "create_poller",
     "prompt_text",
 ]
--- /dev/null
+++ b/src/cassiaford/engines/_http.py
@@ -0,0 +1,110 @@
+"""The control calls to model engines over HTTP.
+
+docs/INTERFACES.md has the formats.
+"""
+
+from urllib.parse import quote
+
+from cassiaford._json_calls import AnswerLostError, CallError, JsonCaller
+from cassiaford.engines._protocol import (
+    CacheEvent,
+    CacheEventKind,
+    CacheEvents,
+    EngineControl,
+    EngineError,
+    LoadReport,
+    Order,
+    OrderAnswer,
+)
+
+# What an engine answers to the cancelling of a request that it has not.
+NOT_FOUND = 404
+
+
+def create_engine_control(timeout_s: float) -> EngineControl:
+    """Return the control calls; each waits at most `timeout_s` for its answer."""
+    return HttpEngineControl(JsonCaller(timeout_s))
+
+
+class HttpEngineControl(EngineControl):
+    """The control calls behind their HTTP interface."""
+
+    def __init__(self, caller: JsonCaller):
+        self.caller = caller
+
+    def load(self, address: str) -> LoadReport:
+        """Return the engine's load report."""
+        return self._call("GET", address, "/v1/load", None, _load_report)
+
+    def cache_events(self, address: str, after: int) -> CacheEvents:
+        """Return the cache events after a sequence number."""
+        target = f"/v1/cache/events?after={after}"
+        return self._call("GET", address, target, None, _cache_events)
+
+    def order(self, address: str, order: Order) -> OrderAnswer:
+        """Give the engine an order and return its answer."""
+        body = {
+            "order_id": order.order_id,
+            "fencing": order.fencing,
+            "action": order.action.value,
+            "model": order.model,
+            "version": order.version,
+            "role": order.role,
+        }
+        return self._call("POST", address, "/v1/orders", body, _order_answer)
+
+    def cancel(self, address: str, request_id: str) -> None:
+        """Cancel a running request; one that the engine has not is no error."""
+        target = f"/v1/requests/{quote(request_id, safe='')}"
+        self._call("DELETE", address, target, None, _nothing, (NOT_FOUND,))
+
+    def close(self) -> None:
+        """Close the connections that are not in use."""
+        self.caller.close()
+
+    def _call(self, method, address, target, body, decode, also_valid=()):
+        try:
+            answer = self.caller.call(method, address, target, body)
+            if not 200 <= answer.status < 300 and answer.status not in also_valid:
+                raise AnswerLostError(f"{address} answered {answer.status}")
+            return decode(answer)
+        except CallError as error:
+            raise EngineError(f"{method} {target}: {error}") from error
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            message = f"{address} answered {target} in an unknown form: {error!r}"
+            raise EngineError(message) from error
+
+
+def _load_report(answer):
+    document = answer.json()
+    return LoadReport(
+        incarnation=str(document["incarnation"]),
+        running=int(document["running"]),
+        waiting=int(document["waiting"]),
+        queued_tokens=int(document["queued_tokens"]),
+        models=tuple(sorted(document["models"].items())),
+    )
+
+
+def _cache_events(answer):
+    document = answer.json()
+    return CacheEvents(
+        incarnation=str(document["incarnation"]),
+        events=tuple(_cache_event(event) for event in document["events"]),
+        next_sequence=int(document["next_sequence"]),
+        gap=bool(document["gap"]),
+    )
+
+
+def _cache_event(document):
+    kind = CacheEventKind(document["kind"])
+    return CacheEvent(int(document["sequence"]), kind, int(document["block"], 16))
+
+
+def _order_answer(answer):
+    document = answer.json()
+    return OrderAnswer(bool(document["accepted"]), str(document["reason"]))
+
+
+def _nothing(answer):
+    return None
--- /dev/null
+++ b/src/cassiaford/engines/_poller.py
@@ -0,0 +1,234 @@
+"""Asking the engines, again and again, for their load and cache events."""
+
+import threading
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from cassiaford.config import Configuration, ServerKind, ServerState
+from cassiaford.engines._protocol import (
+    CacheEvents,
+    EngineControl,
+    EngineError,
+    LoadReport,
+)
+from cassiaford.logs import Event
+from cassiaford.timeline import Journal, Subject
+
+# Engines that answered last time, and those that did not, have threads of their
+# own, so that the second sort cannot delay the first.
+REACHABLE_THREADS = 16
+UNREACHABLE_THREADS = 4
+# With many engines each is asked less often, so that the polls stay within this.
+MAX_POLLS_PER_S = 100.0
+TICK_S = 0.05
+# An engine that does not answer is asked less and less often, up to this.
+MAX_BACKOFF_S = 5.0
+# The sequence number after which an engine's events are all of them.
+BEFORE_FIRST = 0
+
+
+class EngineObserver(ABC):
+    """Takes in what engines report; servers go by their name."""
+
+    @abstractmethod
+    def observe_load(self, server: str, report: LoadReport) -> None:
+        """Take in a load report."""
+
+    @abstractmethod
+    def observe_events(self, server: str, events: CacheEvents) -> None:
+        """Take in cache events."""
+
+    @abstractmethod
+    def forget(self, server: str) -> None:
+        """Drop what is believed about an engine that left or came back empty."""
+
+
+def create_poller(
+    configuration: Callable[[], Configuration],
+    control: EngineControl,
+    observer: EngineObserver,
+    journal: Journal,
+    interval_s: float,
+) -> "EnginePoller":
+    """Return a poller of the joined engines; `start` sets it going."""
+    return EnginePoller(configuration, control, observer, journal, interval_s)
+
+
+class EnginePoller:
+    """Polls the joined engines on a few threads.
+
+    An engine that does not answer takes up a thread for one timeout; from
+    then on it is polled by other threads than the engines that do answer. The
+    observer is called by all of these threads, but for one engine never by
+    two of them at once.
+    """
+
+    def __init__(
+        self,
+        configuration: Callable[[], Configuration],
+        control: EngineControl,
+        observer: EngineObserver,
+        journal: Journal,
+        interval_s: float,
+    ):
+        self.configuration = configuration
+        self.control = control
+        self.observer = observer
+        self.journal = journal
+        self.interval_s = interval_s
+        self.polls: dict[str, _EnginePoll] = {}
+        self.stopping = threading.Event()
+        self.reachable = ThreadPoolExecutor(REACHABLE_THREADS, "engine-poll")
+        self.unreachable = ThreadPoolExecutor(UNREACHABLE_THREADS, "engine-probe")
+        self.thread = threading.Thread(
+            target=self._run, name="engine-poller", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start to poll."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop to poll; a call that is under way ends by its timeout."""
+        self.stopping.set()
+        if self.thread.ident is not None:
+            self.thread.join()
+        for threads in (self.reachable, self.unreachable):
+            threads.shutdown(wait=False, cancel_futures=True)
+
+    def interval_now_s(self) -> float:
+        """Return the time between two polls of an engine that answers."""
+        return max(self.interval_s, len(self.polls) / MAX_POLLS_PER_S)
+
+    def _run(self):
+        while not self.stopping.is_set():
+            try:
+                self._follow_configuration()
+                self._submit_due()
+            except Exception as error:
+                self.journal.record(Event.THREAD_FAILED, error=repr(error))
+            self.stopping.wait(min(TICK_S, self.interval_s))
+
+    def _follow_configuration(self):
+        addresses = _joined_engines(self.configuration())
+        for name in addresses.keys() - self.polls.keys():
+            self.polls[name] = _EnginePoll(self, name)
+        for name, poll in tuple(self.polls.items()):
+            poll.wanted_address = addresses.get(name)
+            if poll.finished:
+                del self.polls[name]
+
+    def _submit_due(self):
+        now = time.monotonic()
+        for poll in self.polls.values():
+            if poll.is_due(now):
+                poll.in_flight = True
+                threads = self.reachable if poll.reachable else self.unreachable
+                threads.submit(poll.run)
+
+
+class _EnginePoll:
+    """The polling of one engine.
+
+    `address` is where the engine was polled last, and None while nothing is
+    believed about it; `wanted_address` is None once it left.
+    """
+
+    def __init__(self, poller: EnginePoller, server: str):
+        self.poller = poller
+        self.server = server
+        self.address: str | None = None
+        self.wanted_address: str | None = None
+        self.incarnation: str | None = None
+        self.after = BEFORE_FIRST
+        self.reachable = True
+        self.in_flight = False
+        self.delay_s = 0.0
+        self.due_at = 0.0
+
+    @property
+    def finished(self) -> bool:
+        """Whether the engine left and is forgotten."""
+        gone = self.address is None and self.wanted_address is None
+        return gone and not self.in_flight
+
+    def is_due(self, now: float) -> bool:
+        """Return whether to poll now; a change of address is always due."""
+        if self.in_flight:
+            return False
+        return now >= self.due_at or self.address != self.wanted_address
+
+    def run(self) -> None:
+        """Poll once and note when to do so again."""
+        try:
+            self._follow_address()
+            if self.address is not None:
+                self._poll()
+        except Exception as error:
+            # A fault in an observer must not end the polling.
+            self._record(Event.THREAD_FAILED, error=repr(error))
+        self.due_at = time.monotonic() + self.delay_s
+        self.in_flight = False
+
+    def _follow_address(self):
+        wanted = self.wanted_address
+        if self.address not in (None, wanted):
+            self.poller.observer.forget(self.server)
+            self._expect(None)
+        self.address = wanted
+
+    def _poll(self):
+        try:
+            report = self.poller.control.load(self.address)
+            self._check_incarnation(report.incarnation)
+            events = self.poller.control.cache_events(self.address, self.after)
+        except EngineError as error:
+            self._note_failure(error)
+            return
+        self._note_success()
+        self.poller.observer.observe_load(self.server, report)
+        if events.incarnation == self.incarnation:
+            self.after = events.next_sequence - 1
+            self.poller.observer.observe_events(self.server, events)
+        else:
+            # The engine came back between the two calls, and these events were
+            # asked for by a sequence number of its former life.
+            self._check_incarnation(events.incarnation)
+
+    def _check_incarnation(self, incarnation):
+        if incarnation == self.incarnation:
+            return
+        if self.incarnation is not None:
+            self._record(Event.ENGINE_RESTARTED, incarnation=incarnation)
+            self.poller.observer.forget(self.server)
+        self._expect(incarnation)
+
+    def _expect(self, incarnation):
+        self.incarnation = incarnation
+        self.after = BEFORE_FIRST
+
+    def _note_failure(self, error):
+        if self.reachable:
+            self._record(Event.ENGINE_UNREACHABLE, error=error)
+        self.reachable = False
+        longer = 2 * max(self.delay_s, self.poller.interval_s)
+        self.delay_s = min(MAX_BACKOFF_S, longer)
+
+    def _note_success(self):
+        if not self.reachable:
+            self._record(Event.ENGINE_REACHABLE)
+        self.reachable = True
+        self.delay_s = self.poller.interval_now_s()
+
+    def _record(self, event, **details):
+        self.poller.journal.record(event, Subject(server=self.server), **details)
+
+
+def _joined_engines(configuration):
+    return {
+        server.name: server.address
+        for server in configuration.servers.values()
+        if server.kind is ServerKind.ENGINE and server.state is ServerState.JOINED
+    }
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -42,6 +42,11 @@
     REQUEST_RETRIED = (1206, Level.INFO, "request sent again")
     CALLER_LEFT = (1207, Level.INFO, "caller closed the connection")
 
+    # 13xx: backend servers and streams.
+    ENGINE_UNREACHABLE = (1301, Level.WARNING, "engine does not answer polls")
+    ENGINE_REACHABLE = (1302, Level.INFO, "engine answers polls again")
+    ENGINE_RESTARTED = (1303, Level.WARNING, "engine came back with an empty cache")
+
     # 18xx: the key-value service.
     KEY_VALUE_LOST = (1801, Level.WARNING, "key-value service does not answer")
     KEY_VALUE_BACK = (1802, Level.INFO, "key-value service answers again")
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -11,6 +11,7 @@
 import json
 import os
 import signal
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qsl, unquote
@@ -55,6 +56,15 @@
     return Response(status, json.dumps(document).encode(), (*JSON_HEADERS, *headers))
 
 
+def set_faults(faults: object, document: dict) -> Response:
+    """Switch the named faults of a data class and answer with all of them."""
+    for name in document:
+        if not hasattr(faults, name):
+            raise ValueError(f"unknown fault {name!r}")
+        setattr(faults, name, document[name])
+    return json_response(vars(faults))
+
+
 class Connection(asyncio.Protocol):
     """One connection; its requests are answered one after the other."""
 
@@ -175,6 +185,9 @@
             return await self.handler(request)
         except (ValueError, KeyError) as error:
             return json_response({"error": repr(error)}, 400)
+        except Exception as error:
+            traceback.print_exc()
+            return json_response({"error": repr(error)}, 500)
 
     def silence(self, spared: Connection) -> int:
         """Make all open connections but one go silent; return their number."""
--- /dev/null
+++ b/tests/test_engines.py
@@ -0,0 +1,325 @@
+"""Tests of the engine stand-in, the control calls and the polling of engines."""
+
+import http.client
+import json
+import threading
+import time
+import unittest
+
+from cassiaford.config import BackendServer, Configuration, ServerState
+from cassiaford.engines import (
+    BLOCK_BYTES,
+    CacheEvent,
+    CacheEventKind,
+    CacheEvents,
+    EngineControl,
+    EngineError,
+    EngineObserver,
+    LoadReport,
+    Order,
+    OrderAction,
+    create_engine_control,
+    create_poller,
+)
+from cassiaford.timeline import HybridClock, Journal
+from standins.answers import expected_answer
+from standins.processes import ProcessGroup, free_address
+
+WAIT_S = 10.0
+INTERVAL_S = 0.01
+
+
+def completion(prompt="hello", output=4, **more):
+    return {"model": "m", "prompt": prompt, "max_tokens": output} | more
+
+
+def wait_until(condition):
+    end = time.monotonic() + WAIT_S
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError("the condition did not come about")
+        time.sleep(0.005)
+
+
+class EngineStandInTest(unittest.TestCase):
+    def setUp(self):
+        self.group = ProcessGroup()
+        self.addCleanup(self.group.end_all)
+        self.control = create_engine_control(5.0)
+        self.addCleanup(self.control.close)
+
+    def start(self, *options):
+        self.address = self.group.start_stand_in(
+            "engine", "--model", "m=v1", "--token-interval-s", "0.005", *options
+        )
+
+    def connect(self):
+        connection = http.client.HTTPConnection(self.address, timeout=WAIT_S)
+        self.addCleanup(connection.close)
+        return connection
+
+    def post(self, body, connection=None, **headers):
+        connection = connection or self.connect()
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        connection.request("POST", "/v1/completions", json.dumps(body), names)
+        return connection.getresponse()
+
+    def text_of(self, events):
+        chunks = [
+            json.loads(line.removeprefix(b"data: "))
+            for line in events.split(b"\n\n")
+            if line.startswith(b"data: {")
+        ]
+        return "".join(c["text"] for chunk in chunks for c in chunk["choices"])
+
+    def test_stream_and_plain_answer_hold_the_same_text(self):
+        self.start()
+        streamed = self.post(completion(stream=True)).read()
+        plain = json.loads(self.post(completion()).read())
+        expected = expected_answer(completion())
+        self.assertEqual(self.text_of(streamed), expected)
+        self.assertTrue(streamed.endswith(b"data: [DONE]\n\n"))
+        self.assertEqual(plain["choices"][0]["text"], expected)
+
+    def test_prefix_is_cached_within_one_salt_only(self):
+        self.start()
+        body = completion("x" * (2 * BLOCK_BYTES + 10))
+        salts = ["000000000000000a", "000000000000000a", "000000000000000b"]
+        cached = []
+        for salt in salts:
+            usage = json.loads(self.post(body, X_Cache_Salt=salt).read())["usage"]
+            cached.append(usage["prompt_tokens_details"]["cached_tokens"])
+        self.assertEqual(cached, [0, 2048, 0])
+
+    def test_broken_stream_goes_on_at_its_offset(self):
+        self.start()
+        body = completion(output=100, stream=True)
+        broken = self.connect()
+        response = self.post(body, broken, X_Request_Id="r1")
+        got = response.readline() + response.readline()
+        broken.close()
+        response.close()
+        rest = self.post(body, X_Request_Id="r1", X_Resume_Offset="1").read()
+        self.assertEqual(self.text_of(got + rest), expected_answer(body))
+        self.assertEqual(len(self.group.control("engine", "/control/runs")), 1)
+        unknown = self.post(body, X_Request_Id="r2", X_Resume_Offset="1")
+        self.assertEqual(unknown.status, 404)
+
+    def test_identifier_runs_once(self):
+        self.start()
+        self.post(completion(), X_Request_Id="r1").read()
+        again = self.post(completion(), X_Request_Id="r1")
+        self.assertEqual(again.status, 409)
+        self.assertIsNone(again.getheader("X-Not-Started"))
+
+    def test_refusals_are_not_among_the_runs(self):
+        self.start("--slots", "1", "--queue-length", "0")
+        self.post(completion(output=1000, stream=True), X_Request_Id="r1")
+        refused = self.post(completion(), X_Request_Id="r2")
+        self.assertEqual(refused.status, 503)
+        self.assertEqual(refused.getheader("X-Not-Started"), "true")
+        broken = self.post(["not", "an", "object"], X_Request_Id="r3")
+        self.assertEqual(broken.status, 400)
+        self.assertEqual(broken.getheader("X-Not-Started"), "true")
+        runs = self.group.control("engine", "/control/runs")
+        self.assertEqual([run["request_id"] for run in runs], ["r1"])
+
+    def test_cancelled_request_stops(self):
+        self.start()
+        response = self.post(completion(output=5000, stream=True), X_Request_Id="r1")
+        response.readline()
+        self.control.cancel(self.address, "r1")
+        self.control.cancel(self.address, "never seen")
+        with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
+            response.read()
+        wait_until(lambda: self.control.load(self.address).running == 0)
+
+    def test_silent_connection_stays_open_while_a_new_one_works(self):
+        self.start()
+        body = completion(output=50, stream=True)
+        silent = self.post(body, X_Request_Id="r1")
+        got = silent.readline() + silent.readline()
+        self.assertGreater(
+            self.group.control("engine", "/control/silence", {})["silenced"], 0
+        )
+        rest = self.post(body, X_Request_Id="r1", X_Resume_Offset="1").read()
+        self.assertEqual(self.text_of(got + rest), expected_answer(body))
+
+    def test_marked_prompt_ends_the_process(self):
+        self.start("--crash-marker", "POISON")
+        with self.assertRaises((http.client.HTTPException, ConnectionError)):
+            self.post(completion("a POISON prompt"))
+        self.assertNotEqual(self.group.processes["engine"].wait(WAIT_S), 0)
+
+    def test_order_with_an_old_fencing_number_is_refused_if_checked(self):
+        store = self.group.start_stand_in("weight_store", "--load-s", "0.05")
+        self.start("--check-fencing", "--weight-store", store)
+        order = Order("o1", 7, OrderAction.LOAD_MODEL, "m", "v2")
+        self.assertTrue(self.control.order(self.address, order).accepted)
+        stale = Order("o2", 6, OrderAction.LOAD_MODEL, "m", "v0")
+        self.assertFalse(self.control.order(self.address, stale).accepted)
+        wait_until(lambda: self.control.load(self.address).models == (("m", "v2"),))
+
+    def test_cache_events_name_what_came_and_went(self):
+        self.start("--cache-blocks", "1", "--event-lag-s", "0", "--event-loss", "0")
+        self.post(completion("x" * BLOCK_BYTES)).read()
+        self.post(completion("y" * BLOCK_BYTES)).read()
+        answer = self.control.cache_events(self.address, 0)
+        kinds = [event.kind.value for event in answer.events]
+        self.assertEqual(kinds, ["stored", "stored", "evicted"])
+        self.assertEqual(answer.events[0].block, answer.events[2].block)
+        self.assertFalse(answer.gap)
+        self.assertEqual(self.control.cache_events(self.address, 3).events, ())
+
+    def test_lost_events_leave_a_gap(self):
+        self.start("--event-lag-s", "0", "--event-loss", "1")
+        self.post(completion("x" * BLOCK_BYTES)).read()
+        answer = self.control.cache_events(self.address, 0)
+        self.assertEqual((answer.events, answer.gap), ((), True))
+
+    def test_unreachable_engine_is_an_engine_error(self):
+        with self.assertRaises(EngineError):
+            self.control.load(free_address())
+
+
+class ScriptedControl(EngineControl):
+    """Engines whose incarnation a test sets; those in `hanging` do not answer."""
+
+    def __init__(self):
+        self.incarnations = {}
+        self.hanging = set()
+        self.released = threading.Event()
+        self.asked = []
+
+    def load(self, address):
+        if address in self.hanging:
+            self.released.wait(WAIT_S)
+            raise EngineError("timeout")
+        return LoadReport(self.incarnations.get(address, "first"), 0, 0, 0, ())
+
+    def cache_events(self, address, after):
+        self.asked.append((address, after))
+        event = CacheEvent(after + 1, CacheEventKind.STORED, 5)
+        incarnation = self.incarnations.get(address, "first")
+        return CacheEvents(incarnation, (event,), after + 2, False)
+
+    def order(self, address, order):
+        raise NotImplementedError
+
+    def cancel(self, address, request_id):
+        raise NotImplementedError
+
+
+class RecordingObserver(EngineObserver):
+    def __init__(self):
+        self.loads = []
+        self.sequences = []
+        self.forgotten = []
+
+    def observe_load(self, server, report):
+        self.loads.append(server)
+
+    def observe_events(self, server, events):
+        self.sequences.append((server, events.events[0].sequence))
+
+    def forget(self, server):
+        self.forgotten.append(server)
+
+
+class EnginePollerTest(unittest.TestCase):
+    def setUp(self):
+        self.control = ScriptedControl()
+        self.observer = RecordingObserver()
+        self.configuration = Configuration()
+        clock = HybridClock(time.time)
+        self.journal = Journal("i", 1, clock, write=lambda *line: None)
+
+    def poll(self, *names, **changes):
+        self.configure(*names, **changes)
+        poller = create_poller(
+            lambda: self.configuration,
+            self.control,
+            self.observer,
+            self.journal,
+            INTERVAL_S,
+        )
+        poller.start()
+        self.addCleanup(poller.stop)
+        self.addCleanup(self.control.released.set)
+
+    def configure(self, *names, **changes):
+        servers = {
+            name: BackendServer(name, f"127.0.0.1:{index + 1}", "dc", **changes)
+            for index, name in enumerate(names)
+        }
+        self.configuration = Configuration(servers=servers)
+
+    def events(self):
+        return [record.event.name for record in self.journal.snapshot()]
+
+    def test_events_are_asked_for_where_the_last_answer_ended(self):
+        self.poll("a")
+        wait_until(lambda: len(self.observer.sequences) >= 3)
+        sequences = [sequence for _, sequence in self.observer.sequences[:3]]
+        self.assertEqual(sequences, [1, 2, 3])
+
+    def test_hanging_engines_do_not_delay_the_others(self):
+        names = [f"e{index}" for index in range(12)]
+        self.control.hanging = {f"127.0.0.1:{index + 1}" for index in range(10)}
+        self.poll(*names)
+        wait_until(lambda: self.observer.loads.count("e11") >= 5)
+        self.assertFalse(self.control.released.is_set())
+        self.assertEqual(set(self.observer.loads), {"e10", "e11"})
+
+    def test_engines_that_failed_once_cannot_take_up_the_threads(self):
+        self.control.hanging = {f"127.0.0.1:{index + 1}" for index in range(40)}
+        names = [f"e{index}" for index in range(41)]
+        self.poll(*names)
+        # The first round of calls fails; the next ones hang again.
+        self.control.released.set()
+        wait_until(lambda: self.events().count("ENGINE_UNREACHABLE") == 40)
+        self.control.released.clear()
+        seen = len(self.observer.loads)
+        wait_until(lambda: len(self.observer.loads) >= seen + 5)
+        self.assertFalse(self.control.released.is_set())
+
+    def test_new_incarnation_is_forgotten_and_read_from_the_start(self):
+        self.poll("a")
+        wait_until(lambda: len(self.observer.sequences) >= 3)
+        self.control.incarnations["127.0.0.1:1"] = "second"
+        wait_until(lambda: self.observer.forgotten == ["a"])
+        count = len(self.observer.sequences)
+        wait_until(lambda: len(self.observer.sequences) >= count + 1)
+        self.assertIn(("a", 1), self.observer.sequences[1:])
+        self.assertIn("ENGINE_RESTARTED", self.events())
+
+    def test_engine_that_leaves_is_forgotten_once(self):
+        self.poll("a", "b")
+        wait_until(lambda: {"a", "b"} <= set(self.observer.loads))
+        self.configure("a", "b", state=ServerState.LEAVING)
+        wait_until(lambda: sorted(self.observer.forgotten) == ["a", "b"])
+        count = len(self.observer.loads)
+        time.sleep(5 * INTERVAL_S)
+        self.assertEqual(len(self.observer.loads), count)
+        self.assertEqual(sorted(self.observer.forgotten), ["a", "b"])
+
+    def test_engine_that_moved_is_forgotten_and_polled_at_its_new_address(self):
+        self.poll("a")
+        wait_until(lambda: len(self.observer.sequences) >= 2)
+        self.configure("other", "a")
+        wait_until(lambda: self.observer.forgotten == ["a"])
+        wait_until(lambda: ("127.0.0.1:2", 0) in self.control.asked)
+
+    def test_fault_in_the_observer_does_not_end_the_polling(self):
+        def fail(server, report):
+            self.observer.loads.append(server)
+            raise RuntimeError("fault")
+
+        self.observer.observe_load = fail
+        self.poll("a")
+        wait_until(lambda: len(self.observer.loads) >= 3)
+        self.assertIn("THREAD_FAILED", self.events())
+
+
+if __name__ == "__main__":
+    unittest.main()
