--- a/standins/processes.py
+++ b/standins/processes.py
@@ -45,12 +45,17 @@
         self.end_all()
 
     def start_stand_in(self, module: str, *options: str, name: str = "") -> str:
-        """Start ``python -m standins.MODULE`` and return its address."""
+        """Run ``python -m standins.MODULE`` and return its address once open."""
+        address = self.launch_stand_in(module, *options, name=name)
+        self.wait_until_open(name or module, address)
+        return address
+
+    def launch_stand_in(self, module: str, *options: str, name: str = "") -> str:
+        """Start ``python -m standins.MODULE`` and return its address at once."""
         name = name or module
         address = self.addresses.setdefault(name, free_address())
         command = ["-m", f"standins.{module}", "--address", address, *options]
         self.start(name, command)
-        self.wait_until_open(name, address)
         return address
 
     def start(self, name: str, arguments: list[str]) -> subprocess.Popen:
@@ -91,6 +96,10 @@
                 raise TimeoutError(f"{name} was not ready in {START_TIMEOUT_S} s")
             time.sleep(POLL_INTERVAL_S)
 
+    def running(self) -> list[str]:
+        """Return the names of the processes that have not ended."""
+        return [name for name, p in self.processes.items() if p.poll() is None]
+
     def control(self, name: str, target: str, body: object = None):
         """Send a control call to a stand-in and return the decoded answer."""
         method = "GET" if body is None else "POST"
