--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,214 @@
+"""Runs a small Academy on the real product, with faults, and checks it.
+
+Starts the stand-ins and three instances, sends requests as callers would,
+kills one instance and one engine while they run, withdraws a key, stops the
+rest gracefully, prints a table, and ends with status 0 only if every
+invariant held.
+"""
+
+import signal
+import sys
+import time
+
+import urllib3
+
+from cassiaford.config import (
+    Customer,
+    Model,
+    PutCustomer,
+    PutKey,
+    PutModel,
+    PutRoute,
+    RemoveKey,
+    Route,
+    issue_key,
+)
+from standins._demo_callers import Academy, CallerPool, EntryFinder
+from standins._demo_report import Check, Evidence, format_table, run_checks
+from standins.cluster import Cluster, Layout
+
+SEED = 1
+CUSTOMER = "academy"
+FORMER_CUSTOMER = "former-shop"
+DATA_CENTRE = "cluj"
+MODEL = "binder-7b"
+MARKING_CALLERS = 10
+CHECK_CALLERS = 4
+SERVICE_PAUSE_S = 0.2
+# How long the callers run before, between and after the faults.
+PHASE_S = 3.0
+WITHDRAWAL_BOUND_S = 5.0
+STOP_TIMEOUT_S = 20.0
+LAYOUT = Layout(
+    instances=3,
+    engines=3,
+    engine_options=("--cache-blocks", "64", "--prefill-rate", "40000"),
+)
+
+
+class Demo:
+    """The steps of the demo."""
+
+    def __init__(self, cluster: Cluster):
+        self.cluster = cluster
+        self.key = issue_key(CUSTOMER)
+        self.former_key = issue_key(FORMER_CUSTOMER)
+        self.academy = Academy(MODEL, self.key.text, SEED)
+        self.finder = EntryFinder([], CUSTOMER, DATA_CENTRE)
+        self.callers = CallerPool(self.finder)
+        self.checks: list[Check] = []
+        self.stop_statuses: list[int] = []
+        self.killed = ""
+
+    def run(self) -> bool:
+        """Run all steps and return whether every invariant held."""
+        self._set_up()
+        started_at = time.monotonic()
+        self._start_callers()
+        time.sleep(PHASE_S)
+        self._kill_instance()
+        time.sleep(PHASE_S)
+        self._kill_engine()
+        self._withdraw_key()
+        time.sleep(PHASE_S)
+        self._stop_instances()
+        self._report(time.monotonic() - started_at)
+        return all(check.held for check in self.checks)
+
+    def _set_up(self):
+        _say("starting the platform and the backend servers")
+        self.cluster.start_platform()
+        self.cluster.apply(self._day_sheet())
+        _say(f"starting {LAYOUT.instances} instances")
+        self.cluster.start_instances()
+        known = [instance.http for instance in self.cluster.instances.values()]
+        self.finder.known.extend(known)
+        entries = [self._name_of(address) for address in self.finder.ask()]
+        _say(f"entry instances for {CUSTOMER}: {', '.join(entries)}")
+
+    def _day_sheet(self):
+        changes = [
+            PutModel(Model(name, version, 1024)) for name, version in LAYOUT.models
+        ]
+        for name, key in (
+            (CUSTOMER, self.key),
+            (FORMER_CUSTOMER, self.former_key),
+        ):
+            changes.append(PutCustomer(Customer(name, 400_000, 2_000_000, (MODEL,))))
+            changes.append(PutKey(key.entry))
+        group = LAYOUT.service_group
+        changes.append(PutRoute(Route("/bookings", group, repeatable=False)))
+        changes.append(PutRoute(Route("/lookup", group)))
+        return (*changes, *self.cluster.server_changes())
+
+    def _start_callers(self):
+        _say("callers start")
+        for _ in range(MARKING_CALLERS):
+            self.callers.start(self.academy.marking)
+        for _ in range(CHECK_CALLERS):
+            self.callers.start(self.academy.check, pause_s=0.1)
+        self.callers.start(self.academy.booking, SERVICE_PAUSE_S)
+        self.callers.start(self.academy.lookup, SERVICE_PAUSE_S)
+
+    def _kill_instance(self):
+        self.killed = self.finder.ask()[0]
+        name = self._name_of(self.killed)
+        _say(f"killing instance {name} while requests run")
+        self.cluster.kill_instance(name)
+
+    def _kill_engine(self):
+        name = self.cluster.engine_names[0]
+        _say(f"killing {name} while requests run")
+        self.cluster.group.kill(name)
+
+    def _withdraw_key(self):
+        _say(f"withdrawing the key of {FORMER_CUSTOMER}")
+        before = self._statuses_of_former_key()
+        self.cluster.apply((RemoveKey(self.former_key.entry.key_id),))
+        end = time.monotonic() + WITHDRAWAL_BOUND_S
+        while time.monotonic() < end and set(self._statuses_of_former_key()) != {401}:
+            time.sleep(0.05)
+        after = self._statuses_of_former_key()
+        held = set(before) == {200} and set(after) == {401}
+        detail = f"statuses before {before}, after {after}"
+        self.checks.append(Check("a withdrawn key stops in seconds", held, detail))
+
+    def _statuses_of_former_key(self):
+        headers = {"Authorization": f"Bearer {self.former_key.text}"}
+        return [
+            urllib3.request(
+                "GET",
+                f"http://{address}/v1/models",
+                headers=headers,
+                retries=False,
+                timeout=5.0,
+            ).status
+            for address in self._live_addresses()
+        ]
+
+    def _stop_instances(self):
+        first, last = [self._name_of(address) for address in self._live_addresses()]
+        _say(f"stopping {first} gracefully while requests run")
+        self._stop(first)
+        self.callers.end()
+        _say(f"stopping {last} gracefully while the last requests run")
+        self._stop(last)
+        ended = self.callers.join(STOP_TIMEOUT_S)
+        held = ended and not self.callers.faults
+        detail = f"{len(self.callers.results)} calls, faults {self.callers.faults}"
+        self.checks.append(Check("every call came to an end", held, detail))
+        self.academy.close()
+
+    def _stop(self, name):
+        self.stop_statuses.append(self.cluster.stop_instance(name, STOP_TIMEOUT_S))
+
+    def _report(self, elapsed_s):
+        records = [r for rs in self.cluster.run_records().values() for r in rs]
+        evidence = Evidence(
+            results=tuple(self.callers.results),
+            records=records,
+            keys=(self.key.text, self.former_key.text),
+            killed=self.killed,
+            stop_statuses=self.stop_statuses,
+        )
+        self.checks.extend(run_checks(evidence))
+        print()
+        print(format_table(evidence.results))
+        print()
+        _say(f"took {elapsed_s:.1f} s after set-up")
+
+    def _live_addresses(self):
+        return [
+            instance.http
+            for name, instance in self.cluster.instances.items()
+            if name in self.cluster.group.running()
+        ]
+
+    def _name_of(self, address):
+        for name, instance in self.cluster.instances.items():
+            if instance.http == address:
+                return name
+        raise LookupError(f"no instance at {address}")
+
+
+def main() -> int:
+    """Run the demo and return the exit status."""
+    # Ends the processes also when the demo itself is asked to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    with Cluster(LAYOUT) as cluster:
+        demo = Demo(cluster)
+        held = demo.run()
+    left = cluster.group.running()
+    demo.checks.append(Check("no process is left behind", not left, f"left: {left}"))
+    for check in demo.checks:
+        mark = "held  " if check.held else "BROKEN"
+        print(f"{mark} {check.name} ({check.detail})")
+    return 0 if held and not left else 1
+
+
+def _say(text):
+    print(text, flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_demo_checks.py
@@ -0,0 +1,121 @@
+"""Tests that the demo's checks fail when an invariant is broken."""
+
+import unittest
+from dataclasses import replace
+
+from standins._demo_calls import (
+    Attempt,
+    Call,
+    CallKind,
+    CallOutcome,
+    CallResult,
+    perform,
+)
+from standins._demo_report import Evidence, format_table, run_checks
+from standins._records import RunRecord
+
+KEY = "cf-1234-secret"
+ENTRY = "127.0.0.1:1"
+KILLED = "127.0.0.1:2"
+
+
+def result(kind, *attempts, **more):
+    outcome = CallOutcome.COMPLETED if attempts[-1].completed else CallOutcome.REFUSED
+    return CallResult(kind, outcome, attempts, 0.1, **more)
+
+
+def record(request_id, started=True, key="", **headers):
+    path = "/bookings" if key else "/v1/completions"
+    return RunRecord(request_id, key, path, headers, started)
+
+
+GOOD = Evidence(
+    results=(
+        result(CallKind.MARKING, Attempt(ENTRY, True), correct=True),
+        result(CallKind.CHECK, Attempt(ENTRY, True)),
+        result(CallKind.LOOKUP, Attempt(ENTRY, True)),
+        result(CallKind.BOOKING, Attempt(ENTRY, True), idempotency_key="b1"),
+        result(CallKind.MARKING, Attempt(KILLED, cut=True), Attempt(ENTRY, True)),
+        result(CallKind.CHECK, Attempt(ENTRY, verdict="not_run", request_id="refused")),
+    ),
+    records=(record("r1"), record("r2", key="b1"), record("refused", started=False)),
+    keys=(KEY,),
+    killed=KILLED,
+    stop_statuses=(0, 0),
+)
+
+
+class ChecksTest(unittest.TestCase):
+    def assert_broken(self, evidence, name):
+        broken = [check.name for check in run_checks(evidence) if not check.held]
+        self.assertEqual(broken, [name])
+
+    def with_result(self, *results):
+        return replace(GOOD, results=(*GOOD.results, *results))
+
+    def with_record(self, *records):
+        return replace(GOOD, records=(*GOOD.records, *records))
+
+    def test_good_run_holds(self):
+        self.assertTrue(all(check.held for check in run_checks(GOOD)))
+        self.assertEqual(len(format_table(GOOD.results).splitlines()), 5)
+
+    def test_wrong_answer(self):
+        wrong = result(CallKind.CHECK, Attempt(ENTRY, True), correct=False)
+        name = "every answer is whole, in order and the right one"
+        self.assert_broken(self.with_result(wrong), name)
+
+    def test_stream_cut_by_a_live_instance(self):
+        cut = result(CallKind.MARKING, Attempt(ENTRY, cut=True), Attempt(ENTRY, True))
+        name = "only the killed instance cut streams"
+        self.assert_broken(self.with_result(cut), name)
+
+    def test_booking_that_ran_twice_or_not_at_all(self):
+        name = "a booking runs at most once"
+        self.assert_broken(self.with_record(record("r9", key="b1")), name)
+        lost = result(CallKind.BOOKING, Attempt(ENTRY, True), idempotency_key="b2")
+        self.assert_broken(self.with_result(lost), name)
+
+    def test_key_seen_by_a_backend_server(self):
+        seen = record("r9", authorization=f"Bearer {KEY}")
+        name = "no backend server saw a caller's key"
+        self.assert_broken(self.with_record(seen), name)
+
+    def test_refusal_of_a_request_that_ran(self):
+        name = "a refusal that says not run is true"
+        self.assert_broken(self.with_record(record("refused")), name)
+
+    def test_stop_that_failed(self):
+        name = "graceful stops end with status 0"
+        self.assert_broken(replace(GOOD, stop_statuses=(0, 1)), name)
+
+    def test_class_without_completion(self):
+        rest = tuple(r for r in GOOD.results if r.kind is not CallKind.LOOKUP)
+        name = "every request class completed some"
+        self.assert_broken(replace(GOOD, results=rest), name)
+
+
+class PerformTest(unittest.TestCase):
+    def perform(self, kind, *attempts):
+        script = iter(attempts)
+        call = Call(kind, "", lambda address: next(script))
+        return perform(call, lambda last: ENTRY)
+
+    def test_call_goes_on_after_a_broken_connection(self):
+        done = self.perform(CallKind.MARKING, Attempt(ENTRY), Attempt(ENTRY, True))
+        self.assertIs(done.outcome, CallOutcome.COMPLETED)
+        self.assertEqual(len(done.attempts), 2)
+
+    def test_booking_in_doubt_is_not_sent_again(self):
+        doubt = Attempt(ENTRY, verdict="may_have_run", code="outcome_unknown")
+        done = self.perform(CallKind.BOOKING, doubt)
+        self.assertIs(done.outcome, CallOutcome.MAY_HAVE_RUN)
+
+    def test_final_refusal_ends_the_call(self):
+        refused = Attempt(ENTRY, verdict="not_run", code="invalid_api_key")
+        done = self.perform(CallKind.CHECK, refused)
+        self.assertIs(done.outcome, CallOutcome.REFUSED)
+
+
+if __name__ == "__main__":
+    unittest.main()
