--- a/src/cassiaford/config/_document.py
+++ b/src/cassiaford/config/_document.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Annotated
 
-from pydantic import ConfigDict, Field
+from pydantic import ConfigDict, Field, model_validator
 from pydantic.dataclasses import dataclass
 
 # Unknown fields are errors: a misspelt rate must not fall back to a default.
@@ -109,6 +109,13 @@
     repeatable: bool = True
     open_to_all: bool = False
 
+    @model_validator(mode="after")
+    def _check_open_route(self):
+        # Idempotency keys are scoped by customer; an open route has none.
+        if self.open_to_all and not self.repeatable:
+            raise ValueError("a route open to all must be repeatable")
+        return self
+
 
 @dataclass(frozen=True, config=STRICT)
 class Configuration:
--- a/src/cassiaford/pipeline/__init__.py
+++ b/src/cassiaford/pipeline/__init__.py
@@ -1,3 +1,46 @@
 """The way of a request: receive, authenticate, admit, claim, place, forward,
 relay, settle.
 """
+
+from cassiaford.pipeline._admit import AdmitFilter, Limiter
+from cassiaford.pipeline._answers import (
+    http_head,
+    refusal_body,
+    refusal_headers,
+    refusal_response,
+)
+from cassiaford.pipeline._authenticate import AuthenticateFilter
+from cassiaford.pipeline._filter import Filter, run_filters
+from cassiaford.pipeline._messages import (
+    AdmittedRequest,
+    AuthenticatedRequest,
+    CallerRequest,
+    Header,
+    ModelCall,
+    Outcome,
+    ServiceClass,
+    Usage,
+)
+from cassiaford.pipeline._receive import RawRequest, ReceiveFilter
+
+__all__ = [
+    "AdmitFilter",
+    "AdmittedRequest",
+    "AuthenticateFilter",
+    "AuthenticatedRequest",
+    "CallerRequest",
+    "Filter",
+    "Header",
+    "Limiter",
+    "ModelCall",
+    "Outcome",
+    "RawRequest",
+    "ReceiveFilter",
+    "ServiceClass",
+    "Usage",
+    "http_head",
+    "refusal_body",
+    "refusal_headers",
+    "refusal_response",
+    "run_filters",
+]
--- a/src/cassiaford/pipeline/_answers.py
+++ b/src/cassiaford/pipeline/_answers.py
@@ -35,7 +35,10 @@
         Header(VERDICT_HEADER, refusal.verdict.value),
         Header(REQUEST_ID_HEADER, request_id),
     ]
-    if refusal.retry_after_s is not None:
+    # The public openai client heeds this header when it decides on a retry.
+    should_retry = refusal.retry_after_s is not None
+    headers.append(Header("X-Should-Retry", "true" if should_retry else "false"))
+    if should_retry:
         seconds = max(1, math.ceil(refusal.retry_after_s))
         headers.append(Header("Retry-After", str(seconds)))
     return tuple(headers)
--- /dev/null
+++ b/src/cassiaford/pipeline/_settle.py
@@ -0,0 +1,89 @@
+"""Settle: what is done once a request has ended, however it ended."""
+
+from cassiaford.logs import Event
+from cassiaford.metrics import Counter, Label, Metrics, Quantity
+from cassiaford.pipeline._admit import Limiter
+from cassiaford.pipeline._messages import AdmittedRequest, CallerRequest, Outcome
+from cassiaford.timeline import Journal, Subject
+from cassiaford.verdict import Refusal, Verdict
+
+
+class Settler:
+    """Gives back unused tokens and records how requests ended."""
+
+    def __init__(self, limiter: Limiter, metrics: Metrics, journal: Journal):
+        self.limiter = limiter
+        self.metrics = metrics
+        self.journal = journal
+
+    def settle(self, request: AdmittedRequest, outcome: Outcome) -> None:
+        """Settle a request that was admitted."""
+        self._give_back(request, outcome)
+        self._measure(request, outcome)
+        subject = Subject(
+            request.request_id, request.customer_name, ",".join(outcome.servers)
+        )
+        if outcome.refusal is not None:
+            self._record_refusal(outcome.refusal, subject)
+            return
+        event = Event.REQUEST_COMPLETED
+        if outcome.verdict is not Verdict.RAN:
+            event = Event.REQUEST_FAILED
+        self.journal.record(
+            event,
+            subject,
+            verdict=outcome.verdict.value,
+            status=outcome.status,
+            service_class=request.service_class.value,
+        )
+
+    def settle_refused(
+        self, caller: CallerRequest, customer_name: str, refusal: Refusal
+    ) -> None:
+        """Settle a request that was refused before it was admitted."""
+        self._count_verdict("", customer_name, refusal.verdict)
+        self._record_refusal(refusal, Subject(caller.request_id, customer_name))
+
+    def _give_back(self, request, outcome):
+        if not request.customer_name:
+            return
+        unused = 0
+        if outcome.usage is not None:
+            unused = request.charged_tokens - outcome.usage.total
+        elif outcome.verdict is Verdict.NOT_RUN:
+            unused = request.charged_tokens
+        if unused:
+            self.limiter.refund(request.customer_name, unused)
+
+    def _measure(self, request, outcome):
+        service_class = request.service_class.value
+        self._count_verdict(service_class, request.customer_name, outcome.verdict)
+        label = Label("class", service_class)
+        if outcome.first_token_s is not None:
+            self.metrics.observe(
+                Quantity.TIME_TO_FIRST_TOKEN, outcome.first_token_s, label
+            )
+        if outcome.usage is not None:
+            usage = outcome.usage
+            self.metrics.count(Counter.PROMPT_TOKENS, amount=usage.prompt_tokens)
+            self.metrics.count(Counter.CACHED_TOKENS, amount=usage.cached_tokens)
+            self.metrics.count(Counter.OUTPUT_TOKENS, amount=usage.output_tokens)
+
+    def _count_verdict(self, service_class, customer_name, verdict):
+        verdict_label = Label("verdict", verdict.value)
+        self.metrics.count(
+            Counter.REQUESTS, Label("class", service_class), verdict_label
+        )
+        self.metrics.count(
+            Counter.CUSTOMER_REQUESTS, Label("customer", customer_name), verdict_label
+        )
+
+    def _record_refusal(self, refusal, subject):
+        self.metrics.count(Counter.REFUSALS, Label("reason", refusal.reason.code))
+        self.journal.record(
+            Event.REQUEST_REFUSED,
+            subject,
+            reason=refusal.reason.code,
+            verdict=refusal.verdict.value,
+            retry_after_s=refusal.retry_after_s,
+        )
--- a/src/cassiaford/settings/_model.py
+++ b/src/cassiaford/settings/_model.py
@@ -77,8 +77,10 @@
     silence_timeout_s: Seconds = 2.0
     request_timeout_s: Seconds = 600.0
     queue_wait_s: Seconds = 2.0
+    batch_queue_wait_s: Seconds = 30.0
     queue_length: Annotated[int, Field(ge=1)] = 64
     drain_timeout_s: Seconds = 60.0
+    lookup_max_age_s: Seconds = 2.0
     stale_after_s: Seconds = 4.0
 
 
