--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -42,6 +42,10 @@
     REQUEST_RETRIED = (1206, Level.INFO, "request sent again")
     CALLER_LEFT = (1207, Level.INFO, "caller closed the connection")
 
+    # 13xx: backend servers and streams.
+    SERVER_SUSPECTED = (1301, Level.WARNING, "backend server suspected")
+    STREAM_RESUMED = (1302, Level.INFO, "stream resumed at its offset")
+
     # 18xx: the key-value service.
     KEY_VALUE_LOST = (1801, Level.WARNING, "key-value service does not answer")
     KEY_VALUE_BACK = (1802, Level.INFO, "key-value service answers again")
--- /dev/null
+++ b/src/cassiaford/pipeline/_dispatch.py
@@ -0,0 +1,462 @@
+"""The dispatcher: from an admitted request to its answer.
+
+A few threads place requests and send them up to the end of their body; the
+answers belong to the event loop of the relay. So no thread waits for an
+engine to compute, or for a caller to read.
+"""
+
+import collections
+import random
+import socket
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from cassiaford.config import Configuration
+from cassiaford.engines import CacheEvents, LoadReport
+from cassiaford.logs import Event
+from cassiaford.pipeline._exchange import RETRY_AFTER_S, ExchangeOwner
+from cassiaford.pipeline._forward import ForwardError, cancel_request, send_request
+from cassiaford.pipeline._job import Job
+from cassiaford.pipeline._limits import exchange_limits
+from cassiaford.pipeline._messages import AdmittedRequest, Outcome
+from cassiaford.pipeline._relay import Relay
+from cassiaford.pipeline._suspects import SuspectRegister
+from cassiaford.pipeline._upstream import upstream_request
+from cassiaford.policy import (
+    Failure,
+    FifoQueue,
+    PlacementPolicy,
+    RequestQueue,
+    RetryBudget,
+    RetryDecision,
+    ServerHealth,
+)
+from cassiaford.settings import LimitSettings
+from cassiaford.timeline import Journal, Subject
+from cassiaford.verdict import Refusal, RefusalReason, Verdict, refuse
+
+DISPATCH_THREADS = 8
+SETTLE_THREADS = 4
+CANCEL_THREADS = 2
+# Cancellations in waiting beyond this are dropped: the server will see that
+# its connection is closed.
+MAX_WAITING_CANCELS = 256
+# Waiting requests are looked at this often even if nothing has changed.
+QUEUE_INTERVAL_S = 0.05
+# A request that has a server to go to is given this much time to get there.
+MIN_WAIT_S = 0.001
+CRASHES = (Failure.RESET_BEFORE_ANSWER, Failure.RESET_IN_ANSWER, Failure.SHORT_ANSWER)
+
+
+class Dispatcher(ExchangeOwner):
+    """Places, sends and relays admitted requests.
+
+    Examples
+    --------
+    >>> dispatcher.start()  # doctest: +SKIP
+    >>> dispatcher.submit(admitted, caller_socket, settle)  # doctest: +SKIP
+    >>> dispatcher.drain(60.0)  # doctest: +SKIP
+    0
+    """
+
+    def __init__(
+        self,
+        settings: LimitSettings,
+        configuration: Callable[[], Configuration],
+        placement: PlacementPolicy,
+        journal: Journal,
+        rng: random.Random,
+        credential: str,
+        suspects: SuspectRegister | None,
+        clock: Callable[[], float],
+        queue: RequestQueue,
+    ):
+        self.settings = settings
+        self.configuration = configuration
+        self.placement = placement
+        self.journal = journal
+        self.rng = rng
+        self.credential = credential
+        self.suspects = suspects
+        self.clock = clock
+        self.queue = queue
+        self.health = ServerHealth()
+        self.budget = RetryBudget(clock())
+        self.jobs = set()
+        self.queued = {}
+        self.urgent = collections.deque()
+        self.running = False
+        self.relay = Relay(self, exchange_limits(settings))
+        self.threads = []
+        self.settlers = ThreadPoolExecutor(SETTLE_THREADS, "settle")
+        self.cancellers = ThreadPoolExecutor(CANCEL_THREADS, "cancel")
+        self.waiting_cancels = 0
+        self._changed = threading.Condition()
+
+    @property
+    def in_flight(self) -> int:
+        """The number of submitted requests whose answer is not yet delivered."""
+        return len(self.jobs)
+
+    def start(self) -> None:
+        """Start the threads."""
+        self.running = True
+        self.relay.start()
+        for number in range(DISPATCH_THREADS):
+            thread = threading.Thread(
+                target=self._dispatch, name=f"dispatch-{number}", daemon=True
+            )
+            self.threads.append(thread)
+            thread.start()
+
+    def stop(self, timeout_s: float) -> None:
+        """End what is left and stop the threads."""
+        give_up_at = time.monotonic() + timeout_s
+        with self._changed:
+            self.running = False
+            self._changed.notify_all()
+        if self.relay.thread.is_alive():
+            self.relay.cut_all(timeout_s)
+        for thread in self.threads:
+            thread.join(max(0.0, give_up_at - time.monotonic()))
+        self.relay.stop(max(0.0, give_up_at - time.monotonic()))
+        self.settlers.shutdown()
+        self.cancellers.shutdown(cancel_futures=True)
+
+    def drain(self, timeout_s: float) -> int:
+        """Wait until every answer is delivered; return how many were cut."""
+        with self._changed:
+            if self._changed.wait_for(lambda: not self.jobs, timeout_s):
+                return 0
+        return self.relay.cut_all(timeout_s)
+
+    def submit(
+        self,
+        request: AdmittedRequest,
+        caller: socket.socket,
+        on_settled: Callable[[AdmittedRequest, Outcome], None],
+    ) -> None:
+        """Take over a request and its caller's socket; never waits.
+
+        The whole answer is written here, and the socket is closed.
+        `on_settled` is called exactly once, on another thread.
+        """
+        received_at = request.authenticated.caller.received_at
+        job = Job(
+            request=request,
+            upstream=upstream_request(request, self.credential),
+            caller=caller,
+            on_settled=on_settled,
+            give_up_at=received_at + self.settings.request_timeout_s,
+        )
+        caller.setblocking(False)
+        with self._changed:
+            self.jobs.add(job)
+            refusal = self._admit(job)
+            self.relay.open(job)
+            self._changed.notify()
+        if refusal is not None:
+            self.relay.refuse(job, refusal)
+
+    def observe_load(self, server: str, report: LoadReport) -> None:
+        """Pass a load report to the placement policy."""
+        with self._changed:
+            self.placement.observe_load(server, report, self.clock())
+            self._changed.notify()
+
+    def observe_events(self, server: str, events: CacheEvents) -> None:
+        """Pass cache events to the placement policy."""
+        with self._changed:
+            self.placement.observe_events(server, events, self.clock())
+
+    def forget(self, server: str) -> None:
+        """Drop every belief about a server that left or came back empty."""
+        with self._changed:
+            self.placement.forget(server)
+            self.health.forget(server)
+
+    # What exchanges ask and tell; called in the event loop.
+
+    def decide_retry(self, job: Job) -> RetryDecision:
+        """Ask the retry budget for another attempt."""
+        with self._changed:
+            return self.budget.decide(job.after_failure(), self.clock())
+
+    def requeue(self, job: Job) -> Refusal | None:
+        """Send a job again, before those that wait for their first attempt."""
+        event = Event.REQUEST_RETRIED if job.resume_at is None else Event.STREAM_RESUMED
+        self.journal.record(event, self._subject(job), attempts=job.attempts)
+        with self._changed:
+            if job.resume_at is None:
+                refusal = self._refuse_without_server(job)
+                if refusal is not None:
+                    return refusal
+                now = self.clock()
+                job.deadline = min(job.give_up_at, now + self.settings.queue_wait_s)
+            self.urgent.append(job)
+            self._changed.notify()
+        return None
+
+    def server_failed(self, job: Job, failure: Failure) -> None:
+        """Suspect the server if the failure is one of its connection."""
+        server = job.server
+        if server is None or not failure.blames_server:
+            return
+        if self.suspects is not None and failure in CRASHES:
+            self.suspects.crashed(job.request, server.name)
+        with self._changed:
+            now = self.clock()
+            news = not self.health.suspected(server.name, now)
+            self.health.failed(server.name, now)
+        if news:
+            self.journal.record(
+                Event.SERVER_SUSPECTED, self._subject(job), failure=failure.text
+            )
+
+    def server_left(self, job: Job, answered: bool) -> None:
+        """Free the job's place on its server."""
+        server = job.server
+        if server is None:
+            return
+        with self._changed:
+            self.health.finished(server.name)
+            if answered:
+                self.health.answered(server.name)
+            self.placement.finished(job.request.request_id, self.clock())
+            self._changed.notify()
+
+    def hold_server(self, job: Job, wait_s: float) -> None:
+        """Give the job's server no new work for a while."""
+        with self._changed:
+            self.health.hold(job.server.name, wait_s, self.clock())
+
+    def cancel(self, job: Job) -> None:
+        """Cancel a model request at its engine, on another thread."""
+        server = job.server
+        if job.request.call is None or server is None:
+            return
+        if self.waiting_cancels >= MAX_WAITING_CANCELS:
+            return
+        self.waiting_cancels += 1
+        self.cancellers.submit(self._cancel, server.address, job.request.request_id)
+
+    def first_byte(self, job: Job) -> None:
+        """Tell placement that the prompt has been computed."""
+        with self._changed:
+            self.placement.first_token(job.request.request_id, self.clock())
+
+    def settled(self, job: Job, outcome: Outcome) -> None:
+        """Report the outcome, on another thread."""
+        self.settlers.submit(self._report, job, outcome)
+
+    def caller_left(self, job: Job) -> None:
+        """Record that the caller left before its answer was complete."""
+        self.journal.record(Event.CALLER_LEFT, self._subject(job))
+
+    def over(self, job: Job) -> None:
+        """Forget a job that is settled and whose caller is gone."""
+        self.relay.forget(job)
+        with self._changed:
+            self.jobs.discard(job)
+            self._changed.notify_all()
+
+    # Dispatch threads.
+
+    def _dispatch(self):
+        while True:
+            with self._changed:
+                job = self._next_job()
+            if job is None:
+                return
+            self._send(job)
+
+    def _next_job(self):
+        """Wait for a job that can be sent now; None when stopping."""
+        while self.running:
+            now = self.clock()
+            self._expire(now)
+            job = self._take_urgent(now) or self._take_queued(now)
+            if job is not None:
+                return job
+            waits = bool(self.queued or self.urgent)
+            self._changed.wait(QUEUE_INTERVAL_S if waits else None)
+        return None
+
+    def _take_urgent(self, now):
+        for job in self.urgent:
+            if job.abandoned or job.resume_at is not None or self._place(job, now):
+                self.urgent.remove(job)
+                return job
+        return None
+
+    def _take_queued(self, now):
+        def may_dispatch(ticket):
+            job = self.queued[ticket.request_id]
+            return job.abandoned or self._place(job, now)
+
+        ticket = self.queue.take(now, may_dispatch)
+        if ticket is None:
+            return None
+        self.budget.first_try(now)
+        return self.queued.pop(ticket.request_id)
+
+    def _place(self, job, now):
+        """Choose a server for a job; the choice is made again at each look."""
+        servers = self._servers(job)
+        views = self.health.views(servers, now)
+        request = job.placement_request()
+        placement = self.placement.place(request, views, now, self.rng)
+        if placement is None:
+            return False
+        job.sent_to(next(s for s in servers if s.name == placement.server))
+        self.health.started(placement.server)
+        self.placement.started(placement, request, now)
+        return True
+
+    def _servers(self, job):
+        """Return the servers that could take a job."""
+        configuration = self.configuration()
+        request = job.request
+        if request.call is not None:
+            servers = configuration.engines_for(request.call.model.name)
+        else:
+            route = request.authenticated.route
+            servers = configuration.services_in(route.group)
+        return tuple(s for s in servers if s.name not in job.excluded)
+
+    def _expire(self, now):
+        for ticket in self.queue.expire(now):
+            job = self.queued.pop(ticket.request_id)
+            self.relay.refuse(job, self._too_late(job))
+        for job in tuple(self.urgent):
+            if job.resume_at is None and job.deadline <= now:
+                self.urgent.remove(job)
+                self.relay.refuse(job, self._too_late(job))
+
+    def _send(self, job):
+        """Send a job's request; its answer comes in the event loop."""
+        if job.abandoned:
+            self.relay.drop(job)
+            return
+        self.journal.record(Event.REQUEST_PLACED, self._subject(job))
+        try:
+            sock = send_request(
+                job.server.address,
+                job.upstream,
+                job.resume_at,
+                self.settings.connect_timeout_s,
+                self.settings.silence_timeout_s,
+            )
+        except ForwardError as error:
+            self.relay.attempt_failed(job, error.failure)
+        else:
+            self.relay.attach(job, sock)
+
+    # Refusals.
+
+    def _admit(self, job):
+        refusal = self._refuse_at_once(job)
+        if refusal is None:
+            refusal = self.queue.offer(job.ticket(), self.clock())
+        if refusal is None:
+            self.queued[job.request.request_id] = job
+        return refusal
+
+    def _refuse_at_once(self, job):
+        if not self.running:
+            return refuse(RefusalReason.STOPPING, "the instance stops", RETRY_AFTER_S)
+        if self.suspects is not None:
+            refusal = self.suspects.refusal(job.request)
+            if refusal is not None:
+                return refusal
+        return self._refuse_without_server(job)
+
+    def _refuse_without_server(self, job):
+        """Return a refusal if no server can take a job before its deadline."""
+        now = self.clock()
+        servers = self._servers(job)
+        wait_s = self.health.wait_for_any(servers, now)
+        if servers and now + wait_s < max(job.deadline, now + MIN_WAIT_S):
+            return None
+        return self._no_server(job, max(wait_s, RETRY_AFTER_S))
+
+    def _no_server(self, job, wait_s):
+        verdict = job.verdict
+        if not job.verdicts:
+            return refuse(
+                RefusalReason.NO_BACKEND, "no backend server takes it now", wait_s
+            )
+        reason = RefusalReason.RETRIES_EXHAUSTED
+        if verdict is Verdict.MAY_HAVE_RUN:
+            reason = RefusalReason.BACKEND_FAILED
+        held_s = self.health.hold_left(job.servers, self.clock())
+        text = f"{job.last_failure.text}; no other server is left"
+        return Refusal(reason, verdict, text, max(wait_s, held_s))
+
+    def _too_late(self, job):
+        if job.verdicts:
+            return self._no_server(job, self.settings.queue_wait_s)
+        return refuse(
+            RefusalReason.DEADLINE,
+            "no backend server was free in time",
+            self.settings.queue_wait_s,
+        )
+
+    # Threads for settling and cancelling.
+
+    def _report(self, job, outcome):
+        try:
+            job.on_settled(job.request, outcome)
+        except Exception as error:
+            self.journal.record(
+                Event.THREAD_FAILED, self._subject(job), error=type(error).__name__
+            )
+
+    def _cancel(self, address, request_id):
+        try:
+            cancel_request(
+                address, request_id, self.credential, self.settings.connect_timeout_s
+            )
+        finally:
+            self.waiting_cancels -= 1
+
+    def _subject(self, job):
+        return Subject(
+            request_id=job.request.request_id,
+            customer=job.request.customer_name,
+            server=job.server.name if job.server else "",
+        )
+
+
+def create_dispatcher(
+    settings: LimitSettings,
+    configuration: Callable[[], Configuration],
+    placement: PlacementPolicy,
+    journal: Journal,
+    rng: random.Random,
+    credential: str = "",
+    suspects: SuspectRegister | None = None,
+    clock: Callable[[], float] = time.monotonic,
+    queue: RequestQueue | None = None,
+) -> Dispatcher:
+    """Return a dispatcher, not yet started.
+
+    `configuration` returns the configuration in force, `credential` is what
+    the instance presents to backend servers, and `queue` decides in which
+    order waiting requests are sent: by arrival if none is given.
+    """
+    if queue is None:
+        queue = FifoQueue(settings.queue_length, settings.queue_wait_s)
+    return Dispatcher(
+        settings,
+        configuration,
+        placement,
+        journal,
+        rng,
+        credential,
+        suspects,
+        clock,
+        queue,
+    )
--- /dev/null
+++ b/src/cassiaford/pipeline/_relay.py
@@ -0,0 +1,132 @@
+"""The event loop that carries every answer, on one thread.
+
+One loop serves all streams: a thread for each stream fills a core at a few
+hundred streams, and a loop also lets one sweep check every time limit.
+"""
+
+import asyncio
+import socket
+import threading
+from collections.abc import Callable
+
+from cassiaford.pipeline._exchange import Exchange, ExchangeOwner
+from cassiaford.pipeline._job import Job
+from cassiaford.pipeline._limits import ExchangeLimits
+from cassiaford.verdict import Refusal
+
+MAX_SWEEP_INTERVAL_S = 0.25
+SWEEPS_PER_SILENCE_TIMEOUT = 4
+
+
+class Relay:
+    """Runs exchanges on its own thread; the methods may be called from any."""
+
+    def __init__(self, owner: ExchangeOwner, limits: ExchangeLimits):
+        self.owner = owner
+        self.limits = limits
+        self.loop = asyncio.new_event_loop()
+        self.exchanges = {}
+        self.sweep_interval_s = min(
+            MAX_SWEEP_INTERVAL_S,
+            limits.silence_timeout_s / SWEEPS_PER_SILENCE_TIMEOUT,
+        )
+        self.thread = threading.Thread(target=self._run, name="relay", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self.thread.start()
+
+    def stop(self, timeout_s: float) -> None:
+        """Stop the thread; exchanges that are left are closed."""
+        if self.thread.is_alive():
+            self.loop.call_soon_threadsafe(self.loop.stop)
+            self.thread.join(timeout_s)
+
+    def open(self, job: Job) -> None:
+        """Begin a job's exchange."""
+        self.loop.call_soon_threadsafe(self._open, job)
+
+    def attach(self, job: Job, sock: socket.socket) -> None:
+        """Give a job the connection on which its request was sent."""
+        self._post(job, "attach", sock)
+
+    def attempt_failed(self, job: Job, failure: object) -> None:
+        """Tell a job that its request could not be sent."""
+        self._post(job, "attempt_failed", failure)
+
+    def refuse(self, job: Job, refusal: Refusal) -> None:
+        """Answer a job with a refusal."""
+        self._post(job, "refuse", refusal)
+
+    def drop(self, job: Job) -> None:
+        """End a job whose caller has left before it was sent."""
+        self._post(job, "drop")
+
+    def cut_all(self, timeout_s: float) -> int:
+        """End every exchange at once and return how many that cut."""
+        return self._call(self._cut_all, timeout_s)
+
+    def _run(self):
+        asyncio.set_event_loop(self.loop)
+        self.loop.call_soon(self._sweep)
+        self.loop.run_forever()
+        self._close_loop()
+
+    def _close_loop(self):
+        for exchange in self.exchanges.values():
+            exchange.cut()
+        # One more turn lets the transports close their sockets.
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.close()
+
+    def _open(self, job):
+        exchange = Exchange(job, self.owner, self.loop, self.limits)
+        self.exchanges[job] = exchange
+        exchange.open()
+
+    def forget(self, job: Job) -> None:
+        """Drop a job whose caller's connection is closed; loop thread only."""
+        exchange = self.exchanges.get(job)
+        if exchange is not None and exchange.settled:
+            del self.exchanges[job]
+
+    def _post(self, job, method, *arguments):
+        try:
+            self.loop.call_soon_threadsafe(self._deliver, job, method, arguments)
+        except RuntimeError:
+            # The loop has stopped and ended every exchange.
+            _close_sockets(arguments)
+
+    def _deliver(self, job, method, arguments):
+        exchange = self.exchanges.get(job)
+        if exchange is None:
+            _close_sockets(arguments)
+            return
+        exchange.when_open(getattr(exchange, method), *arguments)
+
+    def _cut_all(self):
+        exchanges = tuple(self.exchanges.values())
+        return sum(exchange.cut() for exchange in exchanges)
+
+    def _sweep(self):
+        now = self.owner.clock()
+        for exchange in tuple(self.exchanges.values()):
+            exchange.sweep(now)
+        self.loop.call_later(self.sweep_interval_s, self._sweep)
+
+    def _call(self, function: Callable, timeout_s):
+        """Run a function in the loop and return its result."""
+
+        async def run():
+            return function()
+
+        return asyncio.run_coroutine_threadsafe(run(), self.loop).result(timeout_s)
+
+
+def _close_sockets(arguments):
+    for argument in arguments:
+        if isinstance(argument, socket.socket):
+            argument.close()
--- /dev/null
+++ b/src/cassiaford/pipeline/_upstream.py
@@ -0,0 +1,151 @@
+"""The request as it goes to a backend server.
+
+Nothing that identifies the caller passes: its key, its cookies and its
+hop-by-hop headers stay here, and the instance presents its own credential.
+"""
+
+import json
+from dataclasses import dataclass, field
+
+from cassiaford.pipeline._answers import JSON_TYPE, REQUEST_ID_HEADER
+from cassiaford.pipeline._messages import AdmittedRequest, ServiceClass
+
+PRIORITY_HEADER = "X-Priority"
+CACHE_SALT_HEADER = "X-Cache-Salt"
+RESUME_HEADER = "X-Resume-Offset"
+NOT_STARTED_HEADER = "x-not-started"
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+SECRET = frozenset(
+    {"authorization", "proxy-authorization", "api-key", "x-api-key", "cookie"}
+)
+# Set anew for the connection to the backend server, or ours alone to set.
+REPLACED = frozenset(
+    {
+        "content-length",
+        "expect",
+        "host",
+        "x-request-id",
+        "x-priority",
+        "x-cache-salt",
+        "x-resume-offset",
+    }
+)
+# A compressed answer could be neither cut into events nor read for its usage.
+REPLACED_FOR_MODELS = frozenset({"accept-encoding", "content-type"})
+
+_PRIORITIES = {
+    ServiceClass.INTERACTIVE: 0,
+    ServiceClass.STANDARD: 1,
+    ServiceClass.BATCH: 2,
+}
+
+
+@dataclass(frozen=True)
+class UpstreamRequest:
+    """A request ready to be sent to any backend server that can take it.
+
+    `hides_usage` says that the usage event was asked for by this instance
+    and not by the caller.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = field(repr=False)
+    body: bytes = field(repr=False)
+    streaming: bool = False
+    hides_usage: bool = False
+
+    def headers_at(self, offset: int | None) -> dict[str, str]:
+        """Return the headers, for a resumption after `offset` events if set."""
+        headers = dict(self.headers)
+        if offset is not None:
+            headers[RESUME_HEADER] = str(offset)
+        return headers
+
+
+def upstream_request(request: AdmittedRequest, credential: str = "") -> UpstreamRequest:
+    """Return what is sent to a backend server for an admitted request."""
+    if request.call is None:
+        return _service_request(request, credential)
+    return _model_request(request, credential)
+
+
+def _service_request(request, credential):
+    caller = request.authenticated.caller
+    headers = _passed_headers(caller.headers, frozenset())
+    headers.update(_own_headers(request, credential))
+    return UpstreamRequest(
+        request_id=request.request_id,
+        method=caller.method,
+        target=caller.target,
+        headers=tuple(headers.items()),
+        body=caller.body,
+    )
+
+
+def _model_request(request, credential):
+    caller, call = request.authenticated.caller, request.call
+    headers = _passed_headers(caller.headers, REPLACED_FOR_MODELS)
+    headers.update(_own_headers(request, credential))
+    headers["Content-Type"] = JSON_TYPE
+    headers["Accept-Encoding"] = "identity"
+    headers[PRIORITY_HEADER] = str(_PRIORITIES[request.service_class])
+    headers[CACHE_SALT_HEADER] = f"{call.scope:016x}"
+    adds_usage = call.streaming and not _asks_for_usage(call.body)
+    return UpstreamRequest(
+        request_id=request.request_id,
+        method="POST",
+        target=request.authenticated.model_path,
+        headers=tuple(headers.items()),
+        body=_with_usage(call.body) if adds_usage else caller.body,
+        streaming=call.streaming,
+        hides_usage=adds_usage,
+    )
+
+
+def _own_headers(request, credential):
+    headers = {REQUEST_ID_HEADER: request.request_id}
+    if credential:
+        headers["Authorization"] = f"Bearer {credential}"
+    return headers
+
+
+def _passed_headers(headers, replaced):
+    """Return the headers that may pass, those of one name joined by commas."""
+    named = set()
+    for header in headers:
+        if header.name.lower() == "connection":
+            named.update(name.strip().lower() for name in header.value.split(","))
+    stopped = HOP_BY_HOP | SECRET | REPLACED | replaced | named
+    passed = {}
+    for header in headers:
+        name = header.name.lower()
+        if name in stopped:
+            continue
+        earlier = passed.get(name)
+        passed[name] = f"{earlier}, {header.value}" if earlier else header.value
+    return passed
+
+
+def _asks_for_usage(body):
+    options = body.get("stream_options")
+    return isinstance(options, dict) and options.get("include_usage") is True
+
+
+def _with_usage(body):
+    options = body.get("stream_options")
+    options = dict(options) if isinstance(options, dict) else {}
+    options["include_usage"] = True
+    return json.dumps({**body, "stream_options": options}).encode()
--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -10,5 +10,28 @@
     PlacementRequest,
     ServerView,
 )
+from cassiaford.policy._queue import FifoQueue, RequestQueue, Ticket
+from cassiaford.policy._retries import (
+    MAX_ATTEMPTS,
+    FailedRequest,
+    Failure,
+    RetryBudget,
+    RetryDecision,
+)
+from cassiaford.policy._server_health import ServerHealth
 
-__all__ = ["Placement", "PlacementPolicy", "PlacementRequest", "ServerView"]
+__all__ = [
+    "MAX_ATTEMPTS",
+    "FailedRequest",
+    "Failure",
+    "FifoQueue",
+    "Placement",
+    "PlacementPolicy",
+    "PlacementRequest",
+    "RequestQueue",
+    "RetryBudget",
+    "RetryDecision",
+    "ServerHealth",
+    "ServerView",
+    "Ticket",
+]
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,407 @@
+"""Fakes of a backend server and a caller over real sockets, scripted by tests."""
+
+import contextlib
+import json
+import queue
+import random
+import socket
+import threading
+import time
+from dataclasses import dataclass, field
+
+from cassiaford.config import (
+    BackendServer,
+    Configuration,
+    Customer,
+    Model,
+    Route,
+    ServerKind,
+)
+from cassiaford.engines import cache_scope
+from cassiaford.pipeline import create_dispatcher
+from cassiaford.pipeline._messages import (
+    AdmittedRequest,
+    AuthenticatedRequest,
+    CallerRequest,
+    Header,
+    ModelCall,
+    ServiceClass,
+)
+from cassiaford.policy import Placement, PlacementPolicy
+from cassiaford.settings import LimitSettings
+from cassiaford.timeline import HybridClock, Journal
+
+HANG_TIMEOUT_S = 20.0
+MODEL = Model("tare", "v1")
+CUSTOMER = Customer("academy", rate=1e6, burst=1e6, models=("tare",))
+SERVICE_ROUTE = Route("/bookings", "shop", repeatable=False)
+
+
+@dataclass
+class SeenRequest:
+    """A request as it reached a fake server."""
+
+    line: str
+    headers: dict
+    body: bytes
+
+    @property
+    def offset(self):
+        text = self.headers.get("x-resume-offset")
+        return None if text is None else int(text)
+
+
+class FakeConnection:
+    """The server's side of one connection, for a script to write on."""
+
+    def __init__(self, sock, request):
+        self.sock = sock
+        self.request = request
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def head(self, status=200, framing="Transfer-Encoding: chunked", **headers):
+        lines = [f"HTTP/1.1 {status} X", framing]
+        lines += [f"{name.replace('_', '-')}: {headers[name]}" for name in headers]
+        self.send("\r\n".join([*lines, "", ""]).encode())
+
+    def stream_head(self, **headers):
+        self.head(content_type="text/event-stream", **headers)
+
+    def chunk(self, data):
+        self.send(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def events(self, *events):
+        for event in events:
+            self.chunk(event)
+
+    def end(self):
+        self.send(b"0\r\n\r\n")
+
+    def answer(self, status=200, body=b"{}", **headers):
+        self.head(status, f"Content-Length: {len(body)}", **headers)
+        self.send(body)
+
+    def reset(self):
+        """Close so that the peer's next read fails."""
+        linger = b"\x01\0\0\0\0\0\0\0"
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.sock.close()
+
+    def wait_closed(self):
+        """Wait, in silence, until the peer closes."""
+        with contextlib.suppress(OSError):
+            while self.sock.recv(4096):
+                pass
+
+
+class FakeServer:
+    """Accepts connections and runs the next script on each, the last one again.
+
+    Cancellations are kept apart: a script never sees them.
+    """
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.requests = []
+        self.cancelled = queue.Queue()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.socks = []
+        self.lock = threading.Lock()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        """Stop listening and break every connection."""
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for sock in self.socks:
+            sock.close()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            self.socks.append(sock)
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        with contextlib.suppress(OSError), sock:
+            request = read_request(sock)
+            if request.line.startswith("DELETE"):
+                self.cancelled.put(request.line.split()[1].rsplit("/", 1)[1])
+                sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+                return
+            with self.lock:
+                self.requests.append(request)
+                many = len(self.scripts) > 1
+                script = self.scripts.pop(0) if many else self.scripts[0]
+            script(FakeConnection(sock, request))
+
+
+def read_request(sock):
+    """Read one HTTP request from a socket."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += _receive(sock)
+    head, _, body = data.partition(b"\r\n\r\n")
+    line, *rest = head.decode("latin-1").split("\r\n")
+    pairs = (text.split(": ", 1) for text in rest)
+    headers = {name.lower(): value for name, value in pairs}
+    while len(body) < int(headers.get("content-length", 0)):
+        body += _receive(sock)
+    return SeenRequest(line, headers, body)
+
+
+def _receive(sock):
+    data = sock.recv(65536)
+    if not data:
+        raise ConnectionError("closed")
+    return data
+
+
+def refused_address():
+    """Return an address on which nothing listens."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def token(number, text=None, finish=None):
+    """Return a completion's event."""
+    choice = {"index": 0, "text": text or f"t{number} ", "finish_reason": finish}
+    return b"data: " + json.dumps({"choices": [choice]}).encode() + b"\n\n"
+
+
+def usage(prompt=5, output=7):
+    """Return the usage event at the end of a stream."""
+    counts = {"prompt_tokens": prompt, "completion_tokens": output}
+    return b"data: " + json.dumps({"choices": [], "usage": counts}).encode() + b"\n\n"
+
+
+DONE = b"data: [DONE]\n\n"
+
+
+def full_stream(*events, **headers):
+    """Return a script that sends a whole stream."""
+
+    def script(connection):
+        connection.stream_head(**headers)
+        connection.events(*events, DONE)
+        connection.end()
+
+    return script
+
+
+class FirstFree(PlacementPolicy):
+    """Takes the first server in the order given that is not suspected."""
+
+    def __init__(self):
+        self.finished_ids = []
+
+    def place(self, request, servers, now, rng):
+        free = [s for s in servers if s.in_flight < s.slots]
+        free.sort(key=lambda server: server.suspected)
+        return Placement(free[0].name) if free else None
+
+    def finished(self, request_id, now):
+        self.finished_ids.append(request_id)
+
+
+@dataclass
+class Answer:
+    """What a caller read until its connection ended."""
+
+    raw: bytes
+    status: int = 0
+    headers: dict = field(default_factory=dict)
+    body: bytes = b""
+    complete: bool = False
+
+    def error(self):
+        """Return the error in the body, a refusal's or a broken stream's."""
+        text = self.body.rpartition(b"data: ")[2]
+        return json.loads(text)["error"]
+
+
+def parse_answer(raw):
+    """Return an answer from all bytes that a caller got."""
+    if not raw:
+        return Answer(raw)
+    head, _, rest = raw.partition(b"\r\n\r\n")
+    line, *lines = head.decode("latin-1").split("\r\n")
+    headers = {k.lower(): v for k, v in (text.split(": ", 1) for text in lines)}
+    status = int(line.split()[1])
+    if "transfer-encoding" in headers:
+        body, complete = _unchunk(rest)
+    else:
+        body, complete = rest, len(rest) == int(headers.get("content-length", 0))
+    return Answer(raw, status, headers, body, complete)
+
+
+def _unchunk(data):
+    body = b""
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        length = int(size, 16)
+        if length == 0:
+            return body, data == b"\r\n"
+        body, data = body + data[:length], data[length + 2 :]
+    return body, False
+
+
+class Caller:
+    """A caller's end of a connection whose other end the dispatcher has."""
+
+    def __init__(self, buffer_bytes=None):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            self.sock = socket.socket()
+            if buffer_bytes:
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+            self.sock.connect(listener.getsockname())
+            self.far_end, _ = listener.accept()
+        self.sock.settimeout(HANG_TIMEOUT_S)
+        self.raw = b""
+
+    def read_until(self, mark):
+        """Read until some bytes have come."""
+        while mark not in self.raw:
+            self.raw += _receive(self.sock)
+
+    def answer(self):
+        """Read until the end and return the answer."""
+        with contextlib.suppress(ConnectionResetError):
+            while data := self.sock.recv(65536):
+                self.raw += data
+        self.sock.close()
+        return parse_answer(self.raw)
+
+
+def model_request(
+    number=1, streaming=True, repeatable=True, temperature=0, wait_s=5.0, **fields
+):
+    """Return an admitted completion."""
+    body = {"model": "tare", "prompt": "p", "stream": streaming, **fields}
+    if temperature is not None:
+        body["temperature"] = temperature
+    scope = cache_scope("academy", "tare", "v1")
+    call = ModelCall(MODEL, body, streaming, 5, 16, scope, ())
+    return _admitted(
+        f"r{number}",
+        _caller_request(f"r{number}", "POST", "/v1/completions", json.dumps(body)),
+        repeatable,
+        wait_s,
+        call=call,
+        model_path="/v1/completions",
+    )
+
+
+def service_request(
+    number=1, method="POST", repeatable=False, headers=(), target="/bookings?day=1"
+):
+    """Return an admitted request to a plain service."""
+    caller = _caller_request(f"s{number}", method, target, "{}", headers)
+    return _admitted(f"s{number}", caller, repeatable, 5.0, route=SERVICE_ROUTE)
+
+
+def _caller_request(request_id, method, target, body, headers=()):
+    return CallerRequest(
+        request_id=request_id,
+        received_at=time.monotonic(),
+        method=method,
+        target=target,
+        path=target.partition("?")[0],
+        headers=tuple(Header(*pair) for pair in headers),
+        body=body.encode(),
+        key="cf-secret",
+    )
+
+
+def _admitted(request_id, caller, repeatable, wait_s, call=None, **way):
+    return AdmittedRequest(
+        authenticated=AuthenticatedRequest(caller, CUSTOMER, 1, **way),
+        service_class=ServiceClass.STANDARD,
+        repeatable=repeatable,
+        deadline=caller.received_at + wait_s,
+        charged_tokens=10,
+        call=call,
+    )
+
+
+class Bench:
+    """A dispatcher before fake servers, and what it reported."""
+
+    def __init__(self, *addresses, slots=32, credential="", queue=None, **limits):
+        servers = {}
+        for number, address in enumerate(addresses):
+            for kind in ServerKind:
+                server = BackendServer(
+                    name=f"{kind.value}-{number}",
+                    address=address,
+                    data_centre="cluj",
+                    kind=kind,
+                    models=("tare",),
+                    group="shop",
+                    slots=slots,
+                )
+                servers[server.name] = server
+        self.configuration = Configuration(revision=1, servers=servers)
+        self.journal = Journal(
+            "entry-1", 1, HybridClock(time.time), write=lambda *_: None
+        )
+        self.outcomes = queue_of_outcomes = _Outcomes()
+        self.placement = FirstFree()
+        limits = {"silence_timeout_s": 0.4, "connect_timeout_s": 0.5, **limits}
+        self.dispatcher = create_dispatcher(
+            LimitSettings(**limits),
+            lambda: self.configuration,
+            self.placement,
+            self.journal,
+            random.Random(1),
+            credential=credential,
+            queue=queue,
+        )
+        self.dispatcher.start()
+        self.on_settled = queue_of_outcomes.add
+
+    def submit(self, request, caller=None):
+        """Submit a request and return its caller."""
+        caller = caller or Caller()
+        self.dispatcher.submit(request, caller.far_end, self.on_settled)
+        return caller
+
+    def ask(self, request):
+        """Submit a request and return its answer and its outcome."""
+        answer = self.submit(request).answer()
+        return answer, self.outcomes.get(request.request_id)
+
+    def close(self):
+        """Stop the dispatcher."""
+        self.dispatcher.stop(HANG_TIMEOUT_S)
+
+
+class _Outcomes:
+    """Collects outcomes and complains of a second one for a request."""
+
+    def __init__(self):
+        self.seen = {}
+        self.doubled = []
+        self.changed = threading.Condition()
+
+    def add(self, request, outcome):
+        with self.changed:
+            if request.request_id in self.seen:
+                self.doubled.append(request.request_id)
+            self.seen[request.request_id] = outcome
+            self.changed.notify_all()
+
+    def get(self, request_id):
+        with self.changed:
+            if not self.changed.wait_for(
+                lambda: request_id in self.seen, HANG_TIMEOUT_S
+            ):
+                raise AssertionError(f"{request_id} never settled")
+            return self.seen[request_id]
