--- a/src/cassiaford/pipeline/__init__.py
+++ b/src/cassiaford/pipeline/__init__.py
@@ -2,15 +2,27 @@
 relay, settle.
 """
 
-from cassiaford.pipeline._admit import AdmitFilter, Limiter
+from cassiaford.pipeline._admit import (
+    AdmitFilter,
+    Limiter,
+)
 from cassiaford.pipeline._answers import (
     http_head,
     refusal_body,
     refusal_headers,
     refusal_response,
 )
-from cassiaford.pipeline._authenticate import AuthenticateFilter
-from cassiaford.pipeline._filter import Filter, run_filters
+from cassiaford.pipeline._authenticate import (
+    AuthenticateFilter,
+)
+from cassiaford.pipeline._dispatch import (
+    Dispatcher,
+    create_dispatcher,
+)
+from cassiaford.pipeline._filter import (
+    Filter,
+    run_filters,
+)
 from cassiaford.pipeline._messages import (
     AdmittedRequest,
     AuthenticatedRequest,
@@ -21,7 +33,13 @@
     ServiceClass,
     Usage,
 )
-from cassiaford.pipeline._receive import RawRequest, ReceiveFilter
+from cassiaford.pipeline._receive import (
+    RawRequest,
+    ReceiveFilter,
+)
+from cassiaford.pipeline._suspects import (
+    SuspectRegister,
+)
 
 __all__ = [
     "AdmitFilter",
@@ -29,6 +47,7 @@
     "AuthenticateFilter",
     "AuthenticatedRequest",
     "CallerRequest",
+    "Dispatcher",
     "Filter",
     "Header",
     "Limiter",
@@ -37,7 +56,9 @@
     "RawRequest",
     "ReceiveFilter",
     "ServiceClass",
+    "SuspectRegister",
     "Usage",
+    "create_dispatcher",
     "http_head",
     "refusal_body",
     "refusal_headers",
