--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -45,6 +45,9 @@
     # 13xx: backend servers and streams.
     SERVER_SUSPECTED = (1301, Level.WARNING, "backend server suspected")
     STREAM_RESUMED = (1302, Level.INFO, "stream resumed at its offset")
+    ENGINE_UNREACHABLE = (1301, Level.WARNING, "engine does not answer polls")
+    ENGINE_REACHABLE = (1302, Level.INFO, "engine answers polls again")
+    ENGINE_RESTARTED = (1303, Level.WARNING, "engine came back with an empty cache")
 
     # 18xx: the key-value service.
     KEY_VALUE_LOST = (1801, Level.WARNING, "key-value service does not answer")
