--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -42,6 +42,9 @@
     REQUEST_RETRIED = (1206, Level.INFO, "request sent again")
     CALLER_LEFT = (1207, Level.INFO, "caller closed the connection")
 
+    # 16xx: claims.
+    CLAIM_OUTCOME_LOST = (1601, Level.WARNING, "outcome of a claim not recorded")
+
     # 18xx: the key-value service.
     KEY_VALUE_LOST = (1801, Level.WARNING, "key-value service does not answer")
     KEY_VALUE_BACK = (1802, Level.INFO, "key-value service answers again")
--- /dev/null
+++ b/src/cassiaford/policy/_claim_shard.py
@@ -0,0 +1,316 @@
+"""One shard of claims: what to write, and what each arrival is told."""
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+from cassiaford.policy._claims import (
+    CLOCK_SKEW_S,
+    RETENTION_S,
+    Claim,
+    ClaimAnswer,
+    ClaimRecord,
+    ClaimState,
+    RecordedOutcome,
+    unavailable,
+)
+from cassiaford.verdict import Refusal, RefusalReason, Verdict, refuse
+
+# The first byte must leave within this time of the claim's first write.
+START_WITHIN_S = 60.0
+# After this time a run that has not been recorded is taken for lost.
+MAX_RUN_S = 660.0
+# Above these sizes in bytes a shard keeps no more bodies, and takes no more
+# claims; outcomes then still fit under the megabyte that a value may have.
+BODY_VALUE_BYTES = 600_000
+CLAIM_VALUE_BYTES = 800_000
+IN_PROGRESS_RETRY_S = 1.0
+# Claims wait this long for others to share their write, outcomes longer.
+GROUP_WINDOW_S = 0.003
+OUTCOME_WINDOW_S = 0.1
+# Bounds the random delay before a write that lost to another is made again.
+CONFLICT_DELAY_S = 0.004
+MAX_CONFLICT_DELAY_S = 0.064
+MAX_QUEUED_OUTCOMES = 10_000
+
+
+@dataclass(frozen=True)
+class Settled:
+    """The answer to one pending claim, named by its nonce."""
+
+    nonce: str
+    answer: ClaimAnswer
+
+
+@dataclass(frozen=True)
+class ReadShard:
+    """Asks the shell to read the shard."""
+
+
+@dataclass(frozen=True)
+class WriteShard:
+    """Asks the shell to write the shard by compare-and-swap."""
+
+    records: Mapping[str, ClaimRecord]
+    version: int
+
+
+class ShardBook:
+    """The claims of one shard, as one instance sees and changes them.
+
+    The shell calls `next_step`, performs the read or write that it returns,
+    and reports what came of it. Every report returns the claims it settled.
+    """
+
+    def __init__(self, name: str, instance: str, incarnation: int):
+        self.name = name
+        self.version = -1
+        self.records = {}
+        self.pending = {}
+        self.changes = {}
+        self.active = set()
+        self.gone = {instance: incarnation - 1}
+        self._written = None
+        self._unsure = set()
+        self._unsure_version = None
+
+    def submit(self, record: ClaimRecord, now: float) -> Settled | None:
+        """Add a claim; return its answer if no call is needed for it."""
+        standing = self._local_view(record)
+        if standing is not None and self._is_final(standing):
+            return Settled(record.nonce, self._second_arrival(standing, record))
+        self.pending[record.nonce] = Claim(self.name, record, now + START_WITHIN_S)
+        return None
+
+    def abandon(self, nonce: str) -> None:
+        """Give up a pending claim.
+
+        If a write with it may have taken effect, or may yet, it is released
+        by a later write.
+        """
+        claim = self.pending.pop(nonce, None)
+        if claim is not None and self._may_be_written(claim.record):
+            self.changes[nonce] = _released(claim.record)
+
+    def end(self, record: ClaimRecord) -> bool:
+        """Queue the outcome of a claim; verdict *not run* releases it.
+
+        Returns whether it was queued. In a long outage the queue is full in
+        the end; then the claim stands, and its outcome is told as unknown.
+        """
+        self.active.discard(record.nonce)
+        if len(self.changes) >= MAX_QUEUED_OUTCOMES:
+            return False
+        self.changes[record.nonce] = record
+        return True
+
+    def next_step(self, wall: float) -> ReadShard | WriteShard | None:
+        """Return what to do for the claims and outcomes that wait, if any."""
+        if not self.pending and not self.changes:
+            return None
+        if self.version < 0:
+            return ReadShard()
+        records = self._wanted(wall)
+        # A write with an unknown result may be under way still: only a later
+        # version makes it void.
+        if records == self.records and self._unsure_version != self.version:
+            if self.pending:
+                return ReadShard()
+            self.changes.clear()
+            return None
+        self._written = records
+        return WriteShard(records, self.version)
+
+    def on_read(
+        self, records: Mapping[str, ClaimRecord], version: int, wall: float
+    ) -> tuple[Settled, ...]:
+        """Take in the shard as read, or as told by a write that lost."""
+        self._take(records, version)
+        return self._settle_standing() + self._settle_unclaimable(wall)
+
+    def on_written(self, version: int) -> tuple[Settled, ...]:
+        """Take note that the last write took effect."""
+        self._take(self._written, version)
+        return self._settle_standing()
+
+    def on_unknown(self) -> None:
+        """Take note that the last write may have taken effect, or may yet."""
+        self._unsure_version = self.version
+        self._unsure.update(self.pending)
+        self._written = None
+
+    def on_not_written(self) -> None:
+        """Take note that the last call failed and had no effect."""
+        self._written = None
+
+    def refuse_all(self, retry_after_s: float) -> tuple[Settled, ...]:
+        """Refuse what waits: the service is down, and nothing has been sent."""
+        return tuple(self.refuse(nonce, retry_after_s) for nonce in list(self.pending))
+
+    def refuse(self, nonce: str, retry_after_s: float) -> Settled:
+        """Refuse one pending claim, with all that is known of its key."""
+        record = self.pending[nonce].record
+        self.abandon(nonce)
+        standing = self._local_view(record)
+        if standing is None or standing.nonce == nonce:
+            return Settled(nonce, unavailable(retry_after_s))
+        return Settled(nonce, self._second_arrival(standing, record))
+
+    def mark_gone(self, instance: str, incarnation: int) -> None:
+        """Take note that an incarnation, and any before it, runs no more."""
+        self.gone[instance] = max(incarnation, self.gone.get(instance, 0))
+
+    def _take(self, records, version):
+        self.records = dict(records)
+        self._written = None
+        if version != self._unsure_version:
+            self._unsure_version = None
+            self._unsure.clear()
+        self.version = version
+        if self._unsure_version is None:
+            self._drop_applied_changes()
+
+    def _drop_applied_changes(self):
+        for nonce, change in list(self.changes.items()):
+            if _is_applied(self.records, change):
+                del self.changes[nonce]
+
+    def _local_view(self, record):
+        for change in self.changes.values():
+            if change.key == record.key and change.verdict is not Verdict.NOT_RUN:
+                return change
+        standing = self.records.get(record.key)
+        if standing is not None and standing.expired(record.written_at):
+            return None
+        return standing
+
+    def _is_final(self, standing):
+        return standing.state is ClaimState.ENDED or standing.nonce in self.active
+
+    def _may_be_written(self, record):
+        standing = self.records.get(record.key)
+        if standing is not None and standing.nonce == record.nonce:
+            return True
+        return record.nonce in self._unsure or self._written is not None
+
+    def _wanted(self, wall):
+        """Return the shard's records with every change that it admits."""
+        records = {
+            key: record
+            for key, record in self.records.items()
+            if not record.expired(wall)
+        }
+        size = sum(record.size for record in records.values())
+        for change in self.changes.values():
+            size += _apply(records, change, size)
+        for claim in self.pending.values():
+            if claim.record.key not in records and size < CLAIM_VALUE_BYTES:
+                records[claim.record.key] = claim.record
+                size += claim.record.size
+        return records
+
+    def _settle_standing(self):
+        """Answer the pending claims whose key stands in the shard."""
+        settled = []
+        for nonce, claim in list(self.pending.items()):
+            standing = self.records.get(claim.record.key)
+            if standing is None or standing.nonce in self.changes:
+                continue
+            if standing.expired(claim.record.written_at):
+                continue
+            del self.pending[nonce]
+            if standing.nonce == nonce:
+                self.active.add(nonce)
+                settled.append(Settled(nonce, claim))
+            else:
+                answer = self._second_arrival(standing, claim.record)
+                settled.append(Settled(nonce, answer))
+        return tuple(settled)
+
+    def _settle_unclaimable(self, wall):
+        """Refuse the pending claims for which the shard has no room."""
+        claimable = self._wanted(wall)
+        nonces = [n for n, c in self.pending.items() if c.record.key not in claimable]
+        for nonce in nonces:
+            self.abandon(nonce)
+        refusal = unavailable(self._next_expiry(wall))
+        return tuple(Settled(nonce, refusal) for nonce in nonces)
+
+    def _next_expiry(self, wall):
+        oldest = min((r.written_at for r in self.records.values()), default=wall)
+        return max(1.0, oldest + RETENTION_S + CLOCK_SKEW_S - wall)
+
+    def _second_arrival(self, standing, record):
+        if standing.fingerprint != record.fingerprint:
+            return refuse(
+                RefusalReason.KEY_REUSED,
+                "the idempotency key was used with another request",
+            )
+        if standing.state is ClaimState.ENDED:
+            return _recorded(standing)
+        if self._is_lost(standing, record.written_at):
+            return _unknown()
+        return Refusal(
+            RefusalReason.IN_PROGRESS,
+            Verdict.MAY_HAVE_RUN,
+            "a request with this idempotency key is running",
+            IN_PROGRESS_RETRY_S,
+        )
+
+    def _is_lost(self, standing, wall):
+        """Return whether nobody is left to record how a claim's work ended."""
+        if standing.incarnation <= self.gone.get(standing.instance, -1):
+            return True
+        return wall > standing.written_at + MAX_RUN_S
+
+
+def conflict_delay(conflicts: int, rng: random.Random) -> float:
+    """Return the seconds to wait after so many lost writes in a row."""
+    bound = min(MAX_CONFLICT_DELAY_S, CONFLICT_DELAY_S * 2 ** (conflicts - 1))
+    return rng.uniform(0.0, bound)
+
+
+def _released(record):
+    return replace(record, state=ClaimState.ENDED, verdict=Verdict.NOT_RUN)
+
+
+def _apply(records, change, size):
+    """Apply an outcome to the claim that it belongs to; return the growth."""
+    standing = records.get(change.key)
+    if standing is None or standing.nonce != change.nonce:
+        return 0
+    if change.verdict is Verdict.NOT_RUN:
+        del records[change.key]
+        return -standing.size
+    if size > BODY_VALUE_BYTES:
+        kept = change.body_kept and not change.body
+        change = replace(change, body=b"", body_kept=kept)
+    records[change.key] = change
+    return change.size - standing.size
+
+
+def _is_applied(records, change):
+    standing = records.get(change.key)
+    if standing is None or standing.nonce != change.nonce:
+        return True
+    return change.verdict is not Verdict.NOT_RUN and standing.state is ClaimState.ENDED
+
+
+def _recorded(standing):
+    if standing.verdict is not Verdict.RAN:
+        return _unknown()
+    return RecordedOutcome(
+        standing.request_id,
+        standing.status,
+        standing.content_type,
+        standing.body,
+        standing.body_kept,
+    )
+
+
+def _unknown():
+    return Refusal(
+        RefusalReason.OUTCOME_UNKNOWN,
+        Verdict.MAY_HAVE_RUN,
+        "a request with this idempotency key was started; whether it ran is unknown",
+    )
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,393 @@
+"""Tests of claims: at most one run, whatever is lost, late or dies."""
+
+import random
+import threading
+import time
+import unittest
+from dataclasses import dataclass, field
+
+from cassiaford.fleet import create_claims
+from cassiaford.pipeline._messages import Outcome
+from cassiaford.policy import (
+    Claim,
+    ClaimRecord,
+    ReadShard,
+    RecordedOutcome,
+    ShardBook,
+    ended_record,
+)
+from cassiaford.timeline import HybridClock, Journal
+from cassiaford.verdict import Refusal, RefusalReason, Verdict
+from tests.fakes_claims import FakeKeyValue
+
+SCHEDULES = 300
+STEPS = 250
+KEYS = ("k1", "k2", "k3")
+INSTANCES = ("entry-1", "entry-2", "entry-3")
+
+
+@dataclass
+class Call:
+    """A call under way; `result` is set once the service has performed it."""
+
+    step: object
+    result: tuple | None = None
+
+
+@dataclass
+class Instance:
+    """One instance's book, its call under way, and the claims it was granted."""
+
+    book: ShardBook
+    incarnation: int
+    call: Call | None = None
+    granted: list = field(default_factory=list)
+    started: list = field(default_factory=list)
+
+
+class Schedule:
+    """Several instances over one shard, with events in a seeded order."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.records = {}
+        self.version = 0
+        self.late_calls = []
+        self.nonces = 0
+        self.grants = 0
+        self.keys = {}
+        self.now = 0.0
+        self.started = dict.fromkeys(KEYS, 0)
+        self.finished = set()
+        self.died_with = set()
+        self.instances = {name: self.new_instance(name, 1) for name in INSTANCES}
+
+    def new_instance(self, name, incarnation):
+        return Instance(ShardBook("00", name, incarnation), incarnation)
+
+    def run(self):
+        actions = (
+            [self.submit] * 4
+            + [self.begin_call] * 8
+            + [self.perform] * 8
+            + [self.answer] * 8
+            + [self.lose_answer] * 2
+            + [self.perform_late] * 2
+            + [self.fail_call, self.abandon, self.crash]
+            + [self.start] * 3
+            + [self.end] * 3
+        )
+        for _ in range(STEPS):
+            self.now += 0.001
+            name = self.rng.choice(INSTANCES)
+            self.rng.choice(actions)(name, self.instances[name])
+
+    def submit(self, name, instance, key=None):
+        self.nonces += 1
+        record = ClaimRecord(
+            key=key or self.rng.choice(KEYS),
+            fingerprint="f",
+            nonce=f"n{self.nonces}",
+            request_id=f"r{self.nonces}",
+            instance=name,
+            incarnation=instance.incarnation,
+            written_at=self.now,
+        )
+        self.keys[record.nonce] = record.key
+        settled = instance.book.submit(record, self.now)
+        if settled is not None:
+            self.take(instance, [settled])
+        return record
+
+    def begin_call(self, name, instance):
+        if instance.call is None:
+            step = instance.book.next_step(self.now)
+            if step is not None:
+                instance.call = Call(step)
+
+    def perform(self, name, instance):
+        if instance.call is not None:
+            self.perform_call(instance.call)
+
+    def perform_call(self, call):
+        if call.result is not None:
+            return
+        swapped = False
+        if not isinstance(call.step, ReadShard) and call.step.version == self.version:
+            self.records = dict(call.step.records)
+            self.version += 1
+            swapped = True
+        call.result = (swapped, dict(self.records), self.version)
+
+    def answer(self, name, instance):
+        if instance.call is None or instance.call.result is None:
+            return
+        swapped, records, version = instance.call.result
+        instance.call = None
+        if swapped:
+            self.take(instance, instance.book.on_written(version))
+        else:
+            self.take(instance, instance.book.on_read(records, version, self.now))
+
+    def lose_answer(self, name, instance):
+        """Lose an answer; a call not yet performed may still take effect."""
+        call = instance.call
+        if call is None or isinstance(call.step, ReadShard):
+            return
+        if call.result is None:
+            self.late_calls.append(call)
+        instance.call = None
+        instance.book.on_unknown()
+
+    def perform_late(self, name, instance):
+        if self.late_calls:
+            self.perform_call(self.late_calls.pop(0))
+
+    def fail_call(self, name, instance):
+        if instance.call is not None and instance.call.result is None:
+            instance.call = None
+            instance.book.on_not_written()
+            self.take(instance, instance.book.refuse_all(1.0))
+
+    def abandon(self, name, instance):
+        if instance.book.pending:
+            instance.book.abandon(next(iter(instance.book.pending)))
+
+    def crash(self, name, instance):
+        if self.rng.random() < 0.5:
+            return
+        if instance.call is not None and instance.call.result is None:
+            self.late_calls.append(instance.call)
+        self.died_with.update(KEYS)
+        self.instances[name] = self.new_instance(name, instance.incarnation + 1)
+
+    def start(self, name, instance):
+        if instance.granted:
+            claim = instance.granted.pop(0)
+            self.started[claim.record.key] += 1
+            instance.started.append(claim)
+
+    def end(self, name, instance):
+        if instance.started:
+            claim = instance.started.pop(0)
+            ran = self.rng.random() < 0.5
+            if ran:
+                self.finished.add(claim.record.key)
+            self.record(instance, claim, Verdict.RAN if ran else Verdict.MAY_HAVE_RUN)
+        elif instance.granted:
+            self.record(instance, instance.granted.pop(0), Verdict.NOT_RUN)
+
+    def record(self, instance, claim, verdict):
+        record = ended_record(claim, verdict, 200, "text/plain", b"done", self.now)
+        instance.book.end(record)
+
+    def take(self, instance, settled):
+        for item in settled:
+            answer = item.answer
+            if isinstance(answer, Claim):
+                instance.granted.append(answer)
+                self.grants += 1
+            elif isinstance(answer, RecordedOutcome):
+                assert answer.body == b"done"
+                assert self.keys[item.nonce] in self.finished
+            elif answer.reason is not RefusalReason.CLAIMS_UNAVAILABLE:
+                assert answer.verdict is Verdict.MAY_HAVE_RUN, answer
+
+    def drain(self):
+        """Let every call succeed until nothing waits."""
+        for _ in range(200):
+            self.now += 0.001
+            for name, instance in self.instances.items():
+                self.begin_call(name, instance)
+                self.perform(name, instance)
+                self.answer(name, instance)
+                while instance.granted:
+                    self.record(instance, instance.granted.pop(), Verdict.NOT_RUN)
+
+
+class ClaimScheduleTest(unittest.TestCase):
+    def test_a_key_never_runs_twice(self):
+        for seed in range(SCHEDULES):
+            with self.subTest(seed=seed):
+                schedule = Schedule(seed)
+                schedule.run()
+                schedule.drain()
+                self.assertLessEqual(max(schedule.started.values()), 1)
+
+    def test_a_key_that_never_ran_can_be_claimed_in_the_end(self):
+        # An instance that died may leave a claim behind, which must stand.
+        checked = 0
+        for seed in range(SCHEDULES):
+            schedule = Schedule(seed)
+            schedule.run()
+            schedule.drain()
+            while schedule.late_calls:
+                schedule.perform_late(None, None)
+            schedule.drain()
+            free = {key for key in KEYS if not schedule.started[key]}
+            for key in sorted(free - schedule.died_with):
+                with self.subTest(seed=seed, key=key):
+                    checked += 1
+                    instance = schedule.instances["entry-1"]
+                    grants = schedule.grants
+                    schedule.submit("entry-1", instance, key)
+                    schedule.drain()
+                    self.assertEqual(schedule.grants, grants + 1)
+                    self.assertIsNone(schedule.records.get(key))
+                    book = instance.book
+                    self.assertFalse(book.pending or book.changes or book.active)
+        self.assertGreater(checked, 20)
+
+
+class ShardBookTest(unittest.TestCase):
+    def book(self):
+        book = ShardBook("00", "entry-1", 2)
+        book.on_read({}, 0, 0.0)
+        return book
+
+    def record(self, **changes):
+        values = {
+            "key": "k",
+            "fingerprint": "f",
+            "nonce": "n1",
+            "request_id": "r1",
+            "instance": "entry-2",
+            "incarnation": 1,
+            "written_at": 0.0,
+        }
+        return ClaimRecord(**(values | changes))
+
+    def second_arrival(self, standing, **changes):
+        book = self.book()
+        own = {"nonce": "n2", "instance": "entry-1", "incarnation": 2}
+        book.submit(self.record(**(own | changes)), 0.0)
+        book.mark_gone("entry-3", 4)
+        (settled,) = book.on_read({"k": standing}, 1, changes.get("written_at", 0.0))
+        return settled.answer
+
+    def test_second_arrival_of_a_running_request(self):
+        answer = self.second_arrival(self.record())
+        self.assertIs(answer.reason, RefusalReason.IN_PROGRESS)
+        self.assertIs(answer.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_claims_of_dead_incarnations_are_unknown_and_never_taken_over(self):
+        dead = [
+            {"instance": "entry-1", "incarnation": 1},
+            {"instance": "entry-3", "incarnation": 4},
+        ]
+        for values in dead:
+            answer = self.second_arrival(self.record(**values))
+            self.assertIs(answer.reason, RefusalReason.OUTCOME_UNKNOWN)
+            self.assertIs(answer.verdict, Verdict.MAY_HAVE_RUN)
+        answer = self.second_arrival(self.record(), written_at=700.0)
+        self.assertIs(answer.reason, RefusalReason.OUTCOME_UNKNOWN)
+
+    def test_another_request_under_the_same_key_is_refused(self):
+        answer = self.second_arrival(self.record(), fingerprint="other")
+        self.assertIs(answer.reason, RefusalReason.KEY_REUSED)
+        self.assertIs(answer.verdict, Verdict.NOT_RUN)
+
+    def test_a_full_shard_refuses_rather_than_forgets(self):
+        book = self.book()
+        size = self.record().size
+        records = {
+            f"k{n}": self.record(key=f"k{n}", nonce=f"m{n}")
+            for n in range(800_000 // size + 1)
+        }
+        book.submit(self.record(nonce="n2", instance="entry-1"), 100.0)
+        (settled,) = book.on_read(records, 1, 100.0)
+        self.assertIs(settled.answer.reason, RefusalReason.CLAIMS_UNAVAILABLE)
+        self.assertAlmostEqual(settled.answer.retry_after_s, 860.0)
+
+    def test_the_first_byte_may_not_leave_late(self):
+        book = self.book()
+        book.submit(self.record(instance="entry-1"), 5.0)
+        book.next_step(0.0)
+        (settled,) = book.on_written(1)
+        self.assertTrue(settled.answer.may_start(65.0))
+        self.assertFalse(settled.answer.may_start(65.1))
+
+
+class ClaimRegistryTest(unittest.TestCase):
+    def setUp(self):
+        self.key_value = FakeKeyValue()
+        self.registries = []
+
+    def tearDown(self):
+        self.key_value.down = False
+        for registry in self.registries:
+            self.assertTrue(registry.stop(10.0))
+
+    def registry(self, instance="entry-1", incarnation=1):
+        clock = HybridClock(time.time)
+        journal = Journal(instance, incarnation, clock, write=lambda *line: None)
+        registry = create_claims(self.key_value, journal, instance, incarnation)
+        self.registries.append(registry)
+        return registry
+
+    def test_the_recorded_outcome_reaches_another_instance(self):
+        first, second = self.registry("entry-1"), self.registry("entry-2")
+        claim = first.claim("shop", "key", "f", "r1")
+        refusal = second.claim("shop", "key", "f", "r2")
+        self.assertIs(refusal.reason, RefusalReason.IN_PROGRESS)
+        first.record(claim, Outcome(Verdict.RAN, 201, body=b"x", content_type="a/b"))
+        self.assertTrue(first.stop(10.0))
+        outcome = second.claim("shop", "key", "f", "r3")
+        self.assertEqual(outcome, RecordedOutcome("r1", 201, "a/b", b"x"))
+
+    def test_an_answer_too_large_to_keep_is_told_as_such(self):
+        registry = self.registry()
+        claim = registry.claim("shop", "key", "f", "r1")
+        registry.record(claim, Outcome(Verdict.RAN, 200, body=b"x" * 5000))
+        outcome = registry.claim("shop", "key", "f", "r2")
+        self.assertEqual((outcome.status, outcome.body_kept), (200, False))
+
+    def test_not_run_releases_the_claim(self):
+        registry = self.registry()
+        claim = registry.claim("shop", "key", "f", "r1")
+        registry.record(claim, Outcome(Verdict.NOT_RUN, 503))
+        self.assertIsInstance(registry.claim("shop", "key", "f", "r2"), Claim)
+
+    def test_a_lost_answer_is_settled_by_the_nonce(self):
+        self.key_value.lose_answers = 1
+        answer = self.registry().claim("shop", "key", "f", "r1")
+        self.assertIsInstance(answer, Claim)
+
+    def test_an_outage_refuses_at_once_and_outcomes_outlast_it(self):
+        registry = self.registry()
+        claim = registry.claim("shop", "old", "f", "r1")
+        self.key_value.down = True
+        registry.record(claim, Outcome(Verdict.RAN, 200))
+        refusal = registry.claim("shop", "new", "f", "r2")
+        self.assertIs(refusal.reason, RefusalReason.CLAIMS_UNAVAILABLE)
+        self.assertIs(refusal.verdict, Verdict.NOT_RUN)
+        self.assertGreater(refusal.retry_after_s, 0.0)
+        self.assertIsInstance(registry.claim("shop", "old", "f", "r3"), RecordedOutcome)
+        self.key_value.down = False
+        self.assertTrue(registry.stop(10.0))
+        other = self.registry("entry-2")
+        self.assertIsInstance(other.claim("shop", "old", "f", "r4"), RecordedOutcome)
+
+    def test_one_of_many_that_race_is_granted(self):
+        registries = [self.registry(f"entry-{n}") for n in range(4)]
+        answers = []
+
+        def arrive(registry, number):
+            answers.append(registry.claim("shop", "key", "f", f"r{number}"))
+
+        threads = [
+            threading.Thread(target=arrive, args=(registries[n % 4], n))
+            for n in range(16)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(30.0)
+        granted = [answer for answer in answers if isinstance(answer, Claim)]
+        refused = [answer for answer in answers if isinstance(answer, Refusal)]
+        self.assertEqual((len(granted), len(refused)), (1, 15))
+        self.assertEqual({r.reason for r in refused}, {RefusalReason.IN_PROGRESS})
+
+
+if __name__ == "__main__":
+    unittest.main()
