--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -45,9 +45,11 @@
     # 13xx: backend servers and streams.
     SERVER_SUSPECTED = (1301, Level.WARNING, "backend server suspected")
     STREAM_RESUMED = (1302, Level.INFO, "stream resumed at its offset")
-    ENGINE_UNREACHABLE = (1301, Level.WARNING, "engine does not answer polls")
-    ENGINE_REACHABLE = (1302, Level.INFO, "engine answers polls again")
-    ENGINE_RESTARTED = (1303, Level.WARNING, "engine came back with an empty cache")
+    ENGINE_UNREACHABLE = (1311, Level.WARNING, "engine does not answer polls")
+    ENGINE_REACHABLE = (1312, Level.INFO, "engine answers polls again")
+    ENGINE_RESTARTED = (1313, Level.WARNING, "engine came back with an empty cache")
+    # 16xx: claims.
+    CLAIM_OUTCOME_LOST = (1601, Level.WARNING, "outcome of a claim not recorded")
 
     # 18xx: the key-value service.
     KEY_VALUE_LOST = (1801, Level.WARNING, "key-value service does not answer")
