--- /dev/null
+++ b/src/cassiaford/fleet/_log.py
@@ -0,0 +1,301 @@
+"""The log of configuration revisions in the key-value service.
+
+Revision N is the value of the key ``config/log/N``. It is created by
+compare-and-swap on the absent key, so of two racing authors one wins. A
+snapshot holds the whole configuration at some revision, so that old entries
+can be deleted.
+
+An author that read the log long ago could create an entry again that was
+deleted since. No entry at or below the snapshot's revision counts, therefore,
+and an author looks at the snapshot once more after its write.
+"""
+
+import secrets
+import time
+import zlib
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from pydantic import TypeAdapter, ValidationError
+from pydantic.dataclasses import dataclass as checked_dataclass
+
+from cassiaford.config import (
+    EMPTY_CONFIGURATION,
+    Change,
+    Configuration,
+    Revision,
+    apply_changes,
+)
+from cassiaford.keyvalue import (
+    Entry,
+    KeyValueError,
+    KeyValueService,
+    OutcomeUnknownError,
+)
+from cassiaford.policy import next_configuration
+
+LOG_PREFIX = "config/log/"
+HEAD_KEY = "config/snapshot/head"
+PARTS_PREFIX = "config/snapshot/parts/"
+# The service holds values up to a megabyte, and they travel as base64 text.
+PART_BYTES = 512 * 1024
+# A snapshot is written when the log has run this far past the last one.
+SNAPSHOT_INTERVAL = 64
+SETTLE_ATTEMPTS = 4
+SETTLE_DELAY_S = 0.25
+NONCE_BYTES = 8
+MAX_LOAD_ATTEMPTS = 5
+
+_REVISION = TypeAdapter(Revision)
+_CONFIGURATION = TypeAdapter(Configuration)
+
+
+class ConfigurationLogError(Exception):
+    """The configuration in the key-value service cannot be used."""
+
+
+class EntryError(ConfigurationLogError):
+    """An entry of the log that this release cannot read."""
+
+
+class LostRaceError(ConfigurationLogError):
+    """Another author wrote the revision first; `winner` is what it wrote."""
+
+    def __init__(self, winner: Revision):
+        super().__init__(f"revision {winner.number} was written by {winner.author}")
+        self.winner = winner
+
+
+class UnknownOutcomeError(ConfigurationLogError):
+    """It is not known whether a revision was written.
+
+    `revision` tells the number and the nonce by which to find out.
+    """
+
+    def __init__(self, revision: Revision):
+        super().__init__(f"the outcome of revision {revision.number} is not known")
+        self.revision = revision
+
+
+@checked_dataclass(frozen=True)
+class SnapshotHead:
+    """Which configuration the snapshot holds, and the keys of its parts."""
+
+    revision: int = 0
+    parts: tuple[str, ...] = ()
+
+
+_HEAD = TypeAdapter(SnapshotHead)
+
+
+@dataclass(frozen=True)
+class Author:
+    """Who writes revisions: a name, and the sources of nonces and time."""
+
+    name: str
+    nonce: Callable[[], str] = lambda: secrets.token_hex(NONCE_BYTES)
+    wall_clock: Callable[[], float] = time.time
+
+
+def encode_revision(revision: Revision) -> bytes:
+    """Return a revision as JSON text."""
+    return _REVISION.dump_json(revision)
+
+
+def decode_revision(text: bytes) -> Revision:
+    """Return the revision in a JSON text; raises `EntryError`."""
+    try:
+        return _REVISION.validate_json(text)
+    except ValidationError as error:
+        raise EntryError("an entry of the log cannot be read") from error
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """Return a configuration as compressed JSON text."""
+    return zlib.compress(_CONFIGURATION.dump_json(configuration))
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Return the configuration in a compressed JSON text."""
+    try:
+        return _CONFIGURATION.validate_json(zlib.decompress(data))
+    except (zlib.error, ValidationError) as error:
+        raise EntryError("a snapshot cannot be read") from error
+
+
+class ConfigurationLog:
+    """Reads and writes the configuration in the key-value service."""
+
+    def __init__(
+        self, key_value: KeyValueService, sleep: Callable[[float], None] = time.sleep
+    ):
+        self.key_value = key_value
+        self.sleep = sleep
+
+    def load(self) -> Configuration:
+        """Return the newest configuration.
+
+        Raises `KeyValueError` if the service does not answer and `EntryError`
+        if this release cannot read what is there.
+        """
+        configuration = self.load_snapshot()
+        for revision in self.entries_after(configuration.revision):
+            configuration = next_configuration(configuration, revision).new
+        return configuration
+
+    def load_snapshot(self) -> Configuration:
+        """Return the configuration in the snapshot."""
+        for _ in range(MAX_LOAD_ATTEMPTS):
+            head = self.head()
+            if not head.parts:
+                return EMPTY_CONFIGURATION
+            parts = [self.key_value.get(key).value for key in head.parts]
+            # A newer snapshot may have replaced this one in between.
+            if None not in parts:
+                return decode_configuration(b"".join(parts))
+        raise EntryError("the snapshot is not complete")
+
+    def head(self) -> SnapshotHead:
+        """Return what the snapshot holds; revision 0 if there is none."""
+        return self._read_head()[0]
+
+    def entries_after(self, number: int) -> tuple[Revision, ...]:
+        """Return the unbroken run of revisions that follows a number."""
+        revisions = []
+        for entry in self.key_value.list(LOG_PREFIX):
+            if entry.key == log_key(number + 1 + len(revisions)):
+                revisions.append(decode_revision(entry.value))
+        return tuple(revisions)
+
+    def history(self) -> tuple[Revision, ...]:
+        """Return all revisions that the log still holds, oldest first."""
+        entries = self.key_value.list(LOG_PREFIX)
+        return tuple(decode_revision(entry.value) for entry in entries)
+
+    def watch(self, number: int, timeout_s: float) -> Revision | None:
+        """Return a revision once it is written, or None after the timeout.
+
+        Raises `EntryError` if the revision was deleted long ago, so that the
+        caller must load the snapshot.
+        """
+        entry = self.key_value.watch(log_key(number), 0, timeout_s)
+        if entry.value is None:
+            return None
+        # An author may have brought a deleted entry back to life.
+        if self.head().revision >= number:
+            raise EntryError("the entry is older than the snapshot")
+        return decode_revision(entry.value)
+
+    def append(
+        self, base: Configuration, changes: Sequence[Change], author: Author
+    ) -> Revision:
+        """Write the revision that follows a configuration and return it.
+
+        Raises `ChangeError` if the changes do not fit, `LostRaceError` if
+        another author was first, `UnavailableError` if nothing was written,
+        and `UnknownOutcomeError` if that is not known.
+        """
+        revision = Revision(
+            number=base.revision + 1,
+            author=author.name,
+            nonce=author.nonce(),
+            written_at=author.wall_clock(),
+            changes=tuple(changes),
+        )
+        apply_changes(base, revision)
+        self._create(revision)
+        self._check_not_deleted_before(revision)
+        return revision
+
+    def write_snapshot(self, configuration: Configuration) -> bool:
+        """Write a snapshot unless there is a newer one, and trim the log.
+
+        Return whether this call wrote it.
+        """
+        head, version = self._read_head()
+        if head.revision >= configuration.revision:
+            return False
+        new = SnapshotHead(configuration.revision, self._write_parts(configuration))
+        result = self.key_value.compare_and_swap(
+            HEAD_KEY, _HEAD.dump_json(new), version
+        )
+        if not result.swapped:
+            self._delete(new.parts)
+            return False
+        self._delete(head.parts)
+        # Followers that are a little behind still find recent entries.
+        self._trim(head.revision)
+        return True
+
+    def _read_head(self):
+        entry = self.key_value.get(HEAD_KEY)
+        if entry.value is None:
+            return SnapshotHead(), entry.version
+        try:
+            return _HEAD.validate_json(entry.value), entry.version
+        except ValidationError as error:
+            raise EntryError("the snapshot's head cannot be read") from error
+
+    def _create(self, revision):
+        key, value = log_key(revision.number), encode_revision(revision)
+        maybe_written = False
+        for _ in range(SETTLE_ATTEMPTS):
+            try:
+                # Writing again is safe: the key can be created only once, and
+                # the nonce tells whose entry it holds.
+                result = self.key_value.compare_and_swap(key, value, 0)
+            except OutcomeUnknownError:
+                maybe_written = True
+                self.sleep(SETTLE_DELAY_S)
+                continue
+            except KeyValueError:
+                if not maybe_written:
+                    raise
+                self.sleep(SETTLE_DELAY_S)
+                continue
+            _check_won(revision, result.swapped, result.entry)
+            return
+        raise UnknownOutcomeError(revision)
+
+    def _check_not_deleted_before(self, revision):
+        try:
+            head = self.head()
+        except KeyValueError:
+            raise UnknownOutcomeError(revision) from None
+        if head.revision >= revision.number:
+            raise UnknownOutcomeError(revision)
+
+    def _write_parts(self, configuration):
+        data = encode_configuration(configuration)
+        name = f"{configuration.revision:012d}-{secrets.token_hex(NONCE_BYTES)}"
+        keys = []
+        for start in range(0, len(data), PART_BYTES):
+            key = f"{PARTS_PREFIX}{name}/{len(keys):04d}"
+            part = data[start : start + PART_BYTES]
+            self.key_value.compare_and_swap(key, part, 0)
+            keys.append(key)
+        return tuple(keys)
+
+    def _trim(self, number):
+        for entry in self.key_value.list(LOG_PREFIX):
+            if entry.key <= log_key(number):
+                self.key_value.compare_and_swap(entry.key, None, entry.version)
+
+    def _delete(self, keys):
+        for key in keys:
+            entry = self.key_value.get(key)
+            if entry.version:
+                self.key_value.compare_and_swap(key, None, entry.version)
+
+
+def log_key(number: int) -> str:
+    """Return the key of a revision in the log."""
+    return f"{LOG_PREFIX}{number:012d}"
+
+
+def _check_won(revision: Revision, swapped: bool, entry: Entry) -> None:
+    if swapped:
+        return
+    found = decode_revision(entry.value)
+    if found.nonce != revision.nonce:
+        raise LostRaceError(found)
--- a/src/cassiaford/fleet/_transport.py
+++ b/src/cassiaford/fleet/_transport.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from cassiaford.policy import Member
+
 
 class Channel(enum.Enum):
     """The part of an instance that a message between peers is for."""
@@ -16,23 +18,6 @@
     LOAD = 5
 
 
-@dataclass(frozen=True)
-class Member:
-    """An instance of the fleet, as its peers know it.
-
-    A restarted instance has a higher `incarnation`. A `leaving` one takes no
-    new requests.
-    """
-
-    instance: str
-    incarnation: int
-    data_centre: str
-    http_address: str
-    peer_address: str
-    leaving: bool = False
-    revision: int = 0
-
-
 @dataclass(frozen=True)
 class PeerMessage:
     """An authenticated message from a peer."""
@@ -63,3 +48,22 @@
     @abstractmethod
     def members(self) -> tuple[Member, ...]:
         """Return the live members, this instance among them."""
+
+
+class RequestTransport(PeerTransport):
+    """A connection to peers that also carries requests with large replies."""
+
+    @abstractmethod
+    def answer(
+        self, channel: Channel, answerer: Callable[[PeerMessage], bytes]
+    ) -> None:
+        """Have requests on a channel answered, on the peer thread."""
+
+    @abstractmethod
+    def request(
+        self, instance: str, channel: Channel, body: bytes, timeout_s: float
+    ) -> PeerMessage:
+        """Send a request that may have a large reply, and return the reply.
+
+        Raises `OSError` if no reply came in time.
+        """
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -33,6 +33,9 @@
     CONFIGURATION_STALE = (1103, Level.ERROR, "no word from service or peers")
     CONFIGURATION_FRESH = (1104, Level.INFO, "word from service or peers again")
 
+    REVISION_REJECTED = (1105, Level.ERROR, "configuration entry not usable")
+    SNAPSHOT_WRITTEN = (1106, Level.INFO, "configuration snapshot written")
+
     # 12xx: requests.
     REQUEST_RECEIVED = (1201, Level.DEBUG, "request received")
     REQUEST_REFUSED = (1202, Level.INFO, "request refused")
@@ -42,6 +45,16 @@
     REQUEST_RETRIED = (1206, Level.INFO, "request sent again")
     CALLER_LEFT = (1207, Level.INFO, "caller closed the connection")
 
+    # 14xx: peers and membership.
+    MEMBER_JOINED = (1401, Level.INFO, "instance is live")
+    MEMBER_SUSPECTED = (1402, Level.INFO, "instance does not answer")
+    MEMBER_LOST = (1403, Level.WARNING, "instance taken for dead")
+    MEMBER_LEAVING = (1404, Level.INFO, "instance is leaving")
+    MEMBER_LEFT = (1405, Level.INFO, "instance has left")
+    PEER_MESSAGE_DROPPED = (1406, Level.WARNING, "message from peer dropped")
+    INSTANCE_SUPERSEDED = (1407, Level.ERROR, "newer process has this name")
+    INSTANCE_LIST_LOST = (1408, Level.WARNING, "list of instances does not answer")
+
     # 18xx: the key-value service.
     KEY_VALUE_LOST = (1801, Level.WARNING, "key-value service does not answer")
     KEY_VALUE_BACK = (1802, Level.INFO, "key-value service answers again")
--- /dev/null
+++ b/src/cassiaford/policy/_member_table.py
@@ -0,0 +1,112 @@
+"""The table of members: merging beliefs and ageing suspicions."""
+
+import math
+from dataclasses import dataclass, replace
+
+from cassiaford.policy._member import Member, MemberState, MemberUpdate
+
+# A suspected member has this many heartbeat periods, times the logarithm of
+# the fleet's size, to refute the suspicion.
+SUSPICION_PERIODS = 1.5
+MIN_SUSPICION_PERIODS = 4.0
+
+# Dead members are remembered so that a healed cut is noticed.
+FORGET_AFTER_S = 3600.0
+
+
+@dataclass
+class _Row:
+    update: MemberUpdate
+    since: float
+
+
+class MemberTable:
+    """What one instance believes about all others."""
+
+    def __init__(self, heartbeat_interval_s: float):
+        self.heartbeat_interval_s = heartbeat_interval_s
+        self.rows: dict[str, _Row] = {}
+
+    def merge(self, update: MemberUpdate, now: float) -> bool:
+        """Take in an update; return whether it was news."""
+        row = self.rows.get(update.member.instance)
+        if row is None:
+            if update.state >= MemberState.DEAD:
+                return False
+        elif not update.overrides(row.update):
+            return False
+        else:
+            update = _keep_revision(update, row.update)
+        self.rows[update.member.instance] = _Row(update, now)
+        return True
+
+    def note_revision(self, instance: str, revision: int) -> None:
+        """Take note of the configuration revision that a member told itself."""
+        row = self.rows.get(instance)
+        if row is not None and row.update.member.revision < revision:
+            member = replace(row.update.member, revision=revision)
+            row.update = replace(row.update, member=member)
+
+    def get(self, instance: str) -> MemberUpdate | None:
+        """Return the belief about a member."""
+        row = self.rows.get(instance)
+        return row.update if row else None
+
+    def live(self) -> list[Member]:
+        """Return the members that are alive or only suspected."""
+        return [
+            row.update.member
+            for row in self.rows.values()
+            if row.update.state <= MemberState.SUSPECT
+        ]
+
+    def dead(self) -> list[Member]:
+        """Return the members that are believed dead and did not leave."""
+        return [
+            row.update.member
+            for row in self.rows.values()
+            if row.update.state is MemberState.DEAD
+        ]
+
+    def with_state(self, instance: str, state: MemberState) -> MemberUpdate | None:
+        """Return the belief about a live member, worsened to a state."""
+        update = self.get(instance)
+        if update is None or update.state >= state:
+            return None
+        return replace(update, state=state)
+
+    def expired_suspicions(self, now: float) -> list[MemberUpdate]:
+        """Return updates that declare overdue suspects dead."""
+        deadline = now - self._suspicion_s()
+        return [
+            replace(row.update, state=MemberState.DEAD)
+            for row in self.rows.values()
+            if row.update.state is MemberState.SUSPECT and row.since <= deadline
+        ]
+
+    def postpone_suspicions(self, seconds: float) -> None:
+        """Give suspects more time, after this instance itself was paused."""
+        for row in self.rows.values():
+            if row.update.state is MemberState.SUSPECT:
+                row.since += seconds
+
+    def forget_old(self, now: float) -> None:
+        """Drop members that have been gone for long."""
+        gone = [
+            instance
+            for instance, row in self.rows.items()
+            if row.update.state >= MemberState.DEAD and now - row.since > FORGET_AFTER_S
+        ]
+        for instance in gone:
+            del self.rows[instance]
+
+    def _suspicion_s(self):
+        periods = SUSPICION_PERIODS * math.log2(len(self.rows) + 2)
+        return max(MIN_SUSPICION_PERIODS, periods) * self.heartbeat_interval_s
+
+
+def _keep_revision(update, known):
+    if update.member.incarnation != known.member.incarnation:
+        return update
+    revision = max(update.member.revision, known.member.revision)
+    return replace(update, member=replace(update.member, revision=revision))
--- /dev/null
+++ b/src/cassiaford/policy/_membership.py
@@ -0,0 +1,338 @@
+"""Who is in the fleet: probes, suspicions and the spread of both.
+
+The protocol is SWIM (Das, Gupta and Motivala, 2002): in each heartbeat period
+an instance probes one member, directly and then through others, so the cost
+of an instance does not grow with the fleet. News travels on the probes.
+"""
+
+import random
+from dataclasses import dataclass, field, replace
+
+from cassiaford.policy._gossip import GossipQueue
+from cassiaford.policy._member import Member, MemberState, MemberUpdate
+from cassiaford.policy._member_table import MemberTable
+from cassiaford.policy._membership_messages import (
+    Action,
+    MemberChanged,
+    MembershipMessage,
+    MessageKind,
+    PeerHeard,
+    SendMessage,
+    Superseded,
+)
+
+# The bound on updates keeps a message below 1,200 bytes.
+MAX_UPDATES = 7
+# Members told at random beside the news, so that lost news is made up for.
+REFRESH_UPDATES = 1
+INDIRECT_PROBES = 3
+# Parts of a heartbeat period.
+INDIRECT_AFTER_PERIODS = 0.4
+PAUSE_PERIODS = 3.0
+RECONNECT_PERIODS = 5
+SEED_PERIODS = 15
+SENT_PROBES_KEPT_PERIODS = 8
+CONTACTS_PER_PERIOD = 8
+LEAVE_FANOUT = 6
+
+
+@dataclass
+class _Probe:
+    target: str
+    sequence: int
+    started: float
+    indirect: bool = False
+
+
+@dataclass
+class _Relay:
+    instance: str
+    sequence: int
+
+
+@dataclass
+class _State:
+    """What passes with time."""
+
+    last_tick: float
+    next_period: float
+    period: int = 0
+    probe: _Probe | None = None
+    sent: dict[int, float] = field(default_factory=dict)
+    relays: dict[int, _Relay] = field(default_factory=dict)
+
+
+class Membership:
+    """The view that one instance has of the fleet.
+
+    `tick` is to be called a few times in each heartbeat period and `receive`
+    for each message; both return what is to be done.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        seeds: tuple[str, ...],
+        heartbeat_interval_s: float,
+        rng: random.Random,
+        now: float,
+    ):
+        self.own = MemberUpdate(own, 0, MemberState.ALIVE)
+        self.seeds = tuple(seed for seed in seeds if seed != own.peer_address)
+        self.interval_s = heartbeat_interval_s
+        self.rng = rng
+        self.table = MemberTable(heartbeat_interval_s)
+        self.gossip = GossipQueue()
+        self.contacts: list[str] = list(self.seeds)
+        self.sequence = rng.getrandbits(30)
+        self.revision = 0
+        self.joined = False
+        self._order: list[str] = []
+        self._state = _State(now, now)
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the live members, this instance first."""
+        own = replace(self.own.member, revision=self.revision)
+        return (own, *self.table.live())
+
+    def learn_addresses(self, addresses: tuple[str, ...]) -> None:
+        """Take note of addresses at which instances may be found."""
+        known = {member.peer_address for member in self.members()}
+        known.update(self.contacts)
+        self.contacts += [address for address in addresses if address not in known]
+
+    def tick(self, now: float) -> list[Action]:
+        """Do what is due."""
+        self._allow_for_pause(now)
+        actions = self._probe_indirectly(now)
+        if now >= self._state.next_period:
+            actions += self._end_probe(now)
+            actions += self._expire(now)
+            actions += self._begin_period(now)
+        return actions
+
+    def receive(
+        self, sender: str, message: MembershipMessage, now: float
+    ) -> list[Action]:
+        """Take in a message from a peer."""
+        actions = []
+        for update in message.updates:
+            actions += self._merge(update, now)
+        self.table.note_revision(sender, message.revision)
+        as_of = self._state.sent.get(message.sequence)
+        if message.kind is not MessageKind.ACK:
+            as_of = None
+        actions.append(PeerHeard(sender, message.revision, as_of))
+        actions += self._answer(sender, message, now)
+        return actions
+
+    def announce_ready(self, now: float) -> list[Action]:
+        """Say that this instance takes requests."""
+        member = replace(self.own.member, ready=True)
+        self._renew(replace(self.own, member=member))
+        return self._tell_some(now)
+
+    def leave(self, now: float) -> list[Action]:
+        """Say that this instance takes no new requests."""
+        member = replace(self.own.member, leaving=True)
+        self._renew(replace(self.own, member=member))
+        return self._tell_some(now)
+
+    def stop(self, now: float) -> list[Action]:
+        """Say that this instance is gone."""
+        self._renew(replace(self.own, state=MemberState.LEFT))
+        return self._tell_some(now)
+
+    # Periods and probes.
+
+    def _allow_for_pause(self, now):
+        gap = now - self._state.last_tick
+        self._state.last_tick = now
+        if gap > PAUSE_PERIODS * self.interval_s:
+            # The answers could not be read meanwhile: blame nobody.
+            self._state.probe = None
+            self.table.postpone_suspicions(gap)
+
+    def _probe_indirectly(self, now):
+        probe = self._state.probe
+        if probe is None or probe.indirect:
+            return []
+        if now < probe.started + INDIRECT_AFTER_PERIODS * self.interval_s:
+            return []
+        probe.indirect = True
+        others = [m.instance for m in self.table.live() if m.instance != probe.target]
+        helpers = self.rng.sample(others, min(INDIRECT_PROBES, len(others)))
+        return [
+            self._send(MessageKind.PING_REQUEST, helper, probe.sequence, probe.target)
+            for helper in helpers
+        ]
+
+    def _end_probe(self, now):
+        probe = self._state.probe
+        self._state.probe = None
+        if probe is None:
+            return []
+        suspicion = self.table.with_state(probe.target, MemberState.SUSPECT)
+        return self._merge(suspicion, now) if suspicion else []
+
+    def _expire(self, now):
+        actions = []
+        for update in self.table.expired_suspicions(now):
+            actions += self._merge(update, now)
+        self.table.forget_old(now)
+        return actions
+
+    def _begin_period(self, now):
+        state = self._state
+        state.period += 1
+        state.next_period = now + self.interval_s
+        oldest = now - SENT_PROBES_KEPT_PERIODS * self.interval_s
+        state.sent = {n: sent for n, sent in state.sent.items() if sent >= oldest}
+        state.relays = {n: r for n, r in state.relays.items() if n in state.sent}
+        actions = self._probe_next(now)
+        actions += self._reach_out(now)
+        return actions
+
+    def _probe_next(self, now):
+        target = self._next_target()
+        if target is None:
+            return []
+        sequence = self._next_sequence(now)
+        self._state.probe = _Probe(target, sequence, now)
+        return [self._send(MessageKind.PING, target, sequence)]
+
+    def _next_target(self):
+        # A shuffled round bounds the time until each member is probed.
+        live = {member.instance for member in self.table.live()}
+        while live:
+            if not self._order:
+                self._order = sorted(live)
+                self.rng.shuffle(self._order)
+            target = self._order.pop()
+            if target in live:
+                return target
+        return None
+
+    def _reach_out(self, now):
+        """Try addresses that may lead to members not known as live."""
+        live = self.table.live()
+        if self._state.period % SEED_PERIODS == 0 or not live:
+            self.learn_addresses(self.seeds)
+        addresses = self.contacts[:CONTACTS_PER_PERIOD]
+        del self.contacts[:CONTACTS_PER_PERIOD]
+        if self._state.period % RECONNECT_PERIODS == 0 and self.table.dead():
+            addresses.append(self.rng.choice(self.table.dead()).peer_address)
+        known = {member.peer_address for member in live}
+        actions = [
+            self._contact(address, now) for address in addresses if address not in known
+        ]
+        if live and not self.joined:
+            helper = self.rng.choice(live).instance
+            sequence = self._next_sequence(now)
+            actions.append(self._send(MessageKind.JOIN, helper, sequence))
+        return actions
+
+    def _contact(self, address, now):
+        message = self._message(MessageKind.PING, self._next_sequence(now))
+        return SendMessage(message, address=address)
+
+    # Messages.
+
+    def _answer(self, sender, message, now):
+        match message.kind:
+            case MessageKind.PING:
+                return [self._send(MessageKind.ACK, sender, message.sequence)]
+            case MessageKind.PING_REQUEST:
+                return self._relay(sender, message, now)
+            case MessageKind.JOIN:
+                return self._sync(sender, message.sequence)
+            case MessageKind.ACK:
+                return self._take_ack(message.sequence)
+            case MessageKind.SYNC:
+                self.joined = True
+        return []
+
+    def _take_ack(self, sequence):
+        probe = self._state.probe
+        if probe is not None and probe.sequence == sequence:
+            self._state.probe = None
+        relay = self._state.relays.pop(sequence, None)
+        if relay is None:
+            return []
+        return [self._send(MessageKind.ACK, relay.instance, relay.sequence)]
+
+    def _relay(self, sender, message, now):
+        if self.table.get(message.target) is None:
+            return []
+        sequence = self._next_sequence(now)
+        self._state.relays[sequence] = _Relay(sender, message.sequence)
+        return [self._send(MessageKind.PING, message.target, sequence)]
+
+    def _sync(self, sender, sequence):
+        rows = [row.update for row in self.table.rows.values()]
+        live = [update for update in rows if update.state <= MemberState.SUSPECT]
+        actions = [self._send(MessageKind.ACK, sender, sequence)]
+        for start in range(0, len(live) or 1, MAX_UPDATES):
+            updates = (self.own, *live[start : start + MAX_UPDATES])
+            message = MembershipMessage(
+                MessageKind.SYNC, sequence, updates, self.revision
+            )
+            actions.append(SendMessage(message, instance=sender))
+        return actions
+
+    def _send(self, kind, instance, sequence, target=""):
+        message = self._message(kind, sequence, instance, target)
+        return SendMessage(message, instance=instance)
+
+    def _message(self, kind, sequence, receiver="", target=""):
+        updates = [self.own, *self._belief_to_refute(receiver)]
+        room = MAX_UPDATES - len(updates)
+        updates += self.gossip.take(room - REFRESH_UPDATES, len(self.table.rows) + 1)
+        updates += self._refresh()
+        return MembershipMessage(kind, sequence, tuple(updates), self.revision, target)
+
+    def _belief_to_refute(self, receiver):
+        # A member must hear that it is suspected before it can refute that.
+        update = self.table.get(receiver)
+        if update is None or update.state is MemberState.ALIVE:
+            return []
+        return [update]
+
+    def _refresh(self):
+        instances = list(self.table.rows)
+        chosen = self.rng.sample(instances, min(REFRESH_UPDATES, len(instances)))
+        return [self.table.rows[instance].update for instance in chosen]
+
+    def _next_sequence(self, now):
+        self.sequence += 1
+        self._state.sent[self.sequence] = now
+        return self.sequence
+
+    def _tell_some(self, now):
+        live = [member.instance for member in self.table.live()]
+        chosen = self.rng.sample(live, min(LEAVE_FANOUT, len(live)))
+        return [
+            self._send(MessageKind.PING, instance, self._next_sequence(now))
+            for instance in chosen
+        ]
+
+    # Beliefs.
+
+    def _merge(self, update, now):
+        if update.member.instance == self.own.member.instance:
+            return self._refute(update)
+        if not self.table.merge(update, now):
+            return []
+        self.gossip.add(update)
+        return [MemberChanged(update)]
+
+    def _refute(self, update):
+        if update.member.incarnation > self.own.member.incarnation:
+            return [Superseded(update.member.incarnation)]
+        if update.overrides(self.own):
+            self._renew(replace(self.own, version=update.version))
+        return []
+
+    def _renew(self, update):
+        self.own = replace(update, version=update.version + 1)
+        self.gossip.add(self.own)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,147 @@
+"""Tests of several instances over loopback sockets."""
+
+import time
+import unittest
+
+from cassiaford.config import Customer, PutCustomer, PutKey, RemoveKey, issue_key
+from cassiaford.fleet import Author, Channel, ConfigurationLog, create_fleet
+from cassiaford.settings import parse_settings
+from cassiaford.timeline import HybridClock, Journal
+from tests.fakes_keyvalue import FakeKeyValueService
+
+HANG_TIMEOUT_S = 30.0
+OPERATOR = Author("operator")
+
+SETTINGS = """
+instance = "{name}"
+data_centre = "cluj"
+[http]
+address = "127.0.0.1:8080"
+[peers]
+address = "127.0.0.1:0"
+secret = "{secret}"
+seeds = [{seeds}]
+heartbeat_interval_s = 0.1
+[key_value]
+address = "127.0.0.1:9000"
+list_address = "127.0.0.1:9001"
+[control]
+token = "an operator's long token"
+[limits]
+stale_after_s = 1.0
+"""
+
+
+class EmptyList:
+    def fetch(self):
+        raise OSError("the list does not answer")
+
+
+def wait_for(condition):
+    deadline = time.monotonic() + HANG_TIMEOUT_S
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError("did not happen in time")
+        time.sleep(0.01)
+
+
+class FleetCase(unittest.TestCase):
+    def setUp(self):
+        self.key_value = FakeKeyValueService()
+        self.log = ConfigurationLog(self.key_value, sleep=lambda seconds: None)
+
+    def start(self, name, seeds=(), incarnation=1, secret="a long secret, shared"):
+        text = SETTINGS.format(
+            name=name, secret=secret, seeds=",".join(f'"{seed}"' for seed in seeds)
+        )
+        journal = Journal(
+            name, incarnation, HybridClock(time.time), write=lambda *line: None
+        )
+        fleet = create_fleet(
+            parse_settings(text),
+            self.key_value,
+            EmptyList(),
+            journal,
+            incarnation,
+            time.monotonic,
+        )
+        self.addCleanup(fleet.stop)
+        fleet.start()
+        fleet.announce_ready()
+        return fleet
+
+    def start_fleet(self, count):
+        first = self.start("entry-0")
+        rest = [
+            self.start(f"entry-{n}", [first.sockets.address]) for n in range(1, count)
+        ]
+        fleets = [first, *rest]
+        wait_for(lambda: all(len(fleet.members()) == count for fleet in fleets))
+        return fleets
+
+    def write(self, *changes):
+        return self.log.append(self.log.load(), changes, OPERATOR)
+
+
+class FleetTest(FleetCase):
+    def test_a_withdrawn_key_is_out_of_force_everywhere(self):
+        fleets = self.start_fleet(4)
+        key = issue_key("academy").entry
+        self.write(PutCustomer(Customer("academy", 10, 10)), PutKey(key))
+        stores = [fleet.configuration for fleet in fleets]
+        wait_for(lambda: all(key.key_id in store.current.keys for store in stores))
+        self.write(RemoveKey(key.key_id))
+        wait_for(lambda: all(store.current.revision == 2 for store in stores))
+        self.assertFalse(any(store.current.keys for store in stores))
+        now = time.monotonic()
+        self.assertTrue(all(store.fresh(now) and store.ready() for store in stores))
+
+    def test_an_instance_that_starts_in_an_outage_learns_from_its_peers(self):
+        fleets = self.start_fleet(3)
+        self.write(PutCustomer(Customer("academy", 10, 10)))
+        wait_for(lambda: all(f.configuration.current.revision == 1 for f in fleets))
+        self.key_value.set_down(True)
+        late = self.start("entry-9", [fleets[1].sockets.address])
+        self.assertFalse(late.configuration.ready())
+        wait_for(lambda: late.configuration.ready())
+        self.assertIn("academy", late.configuration.current.customers)
+        wait_for(lambda: late.configuration.fresh(time.monotonic()))
+
+    def test_an_instance_alone_in_an_outage_becomes_stale(self):
+        alone = self.start("entry-0")
+        store = alone.configuration
+        wait_for(lambda: store.fresh(time.monotonic()))
+        self.key_value.set_down(True)
+        wait_for(lambda: not store.fresh(time.monotonic()))
+        self.key_value.set_down(False)
+        wait_for(lambda: store.fresh(time.monotonic()))
+
+    def test_a_leaving_instance_is_no_longer_named_to_callers(self):
+        fleets = self.start_fleet(3)
+        wait_for(lambda: len(fleets[0].entries("academy", "cluj")) == 3)
+        fleets[2].leave()
+        wait_for(lambda: len(fleets[0].entries("academy", "cluj")) == 2)
+        self.assertEqual(len(fleets[0].members()), 3)
+        fleets[2].stop()
+        wait_for(lambda: len(fleets[0].members()) == 2)
+
+    def test_an_instance_with_another_secret_stays_outside(self):
+        fleets = self.start_fleet(2)
+        address = fleets[0].sockets.address
+        stranger = self.start("entry-8", [address], secret="another long secret")
+        wait_for(lambda: sum(fleets[0].sockets.gate.dropped.values()) > 2)
+        self.assertEqual(len(fleets[0].members()), 2)
+        self.assertEqual(len(stranger.members()), 1)
+
+    def test_messages_reach_the_handlers_of_their_channel(self):
+        fleets = self.start_fleet(2)
+        received = []
+        fleets[1].transport.subscribe(Channel.RATES, received.append)
+        fleets[0].transport.send("entry-1", Channel.RATES, b"budget")
+        wait_for(lambda: received)
+        self.assertEqual(received[0].body, b"budget")
+        self.assertEqual(received[0].sender, "entry-0")
+
+
+if __name__ == "__main__":
+    unittest.main()
