--- a/src/cassiaford/fleet/__init__.py
+++ b/src/cassiaford/fleet/__init__.py
@@ -1,14 +1,49 @@
 """The instances as a fleet: peers, membership, the spread of configuration."""
 
-from cassiaford.fleet._claims import ClaimRegistry, ClaimService, create_claims
-from cassiaford.fleet._transport import Channel, Member, PeerMessage, PeerTransport
+from cassiaford.fleet._claims import (
+    ClaimRegistry,
+    ClaimService,
+    create_claims,
+)
+from cassiaford.fleet._configuration import (
+    ConfigurationStore,
+)
+from cassiaford.fleet._fleet import (
+    Fleet,
+    create_fleet,
+)
+from cassiaford.fleet._log import (
+    Author,
+    ConfigurationLog,
+    ConfigurationLogError,
+    EntryError,
+    LostRaceError,
+    UnknownOutcomeError,
+)
+from cassiaford.fleet._transport import (
+    Channel,
+    Member,
+    PeerMessage,
+    PeerTransport,
+    RequestTransport,
+)
 
 __all__ = [
+    "Author",
     "Channel",
     "ClaimRegistry",
     "ClaimService",
+    "ConfigurationLog",
+    "ConfigurationLogError",
+    "ConfigurationStore",
+    "EntryError",
+    "Fleet",
+    "LostRaceError",
     "Member",
     "PeerMessage",
     "PeerTransport",
+    "RequestTransport",
+    "UnknownOutcomeError",
     "create_claims",
+    "create_fleet",
 ]
--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -19,9 +19,28 @@
     ClaimRecord,
     ClaimState,
     RecordedOutcome,
+    choose_instance,
     ended_record,
+    from cassiaford.policy._lookup import (     ENTRIES_MAX_AGE_S,
+    rank_entries,
     unavailable,
 )
+from cassiaford.policy._member import (
+    Member,
+    MemberState,
+    MemberUpdate,
+)
+from cassiaford.policy._membership import (
+    Membership,
+)
+from cassiaford.policy._membership_messages import (
+    MemberChanged,
+    MembershipMessage,
+    MessageKind,
+    PeerHeard,
+    SendMessage,
+    Superseded,
+)
 from cassiaford.policy._placement import (
     Placement,
     PlacementPolicy,
@@ -34,12 +53,17 @@
     Ticket,
 )
 from cassiaford.policy._retries import (
-    MAX_ATTEMPTS,
     FailedRequest,
     Failure,
+    MAX_ATTEMPTS,
     RetryBudget,
     RetryDecision,
 )
+from cassiaford.policy._revisions import (
+    RevisionChange,
+    RevisionPolicy,
+    next_configuration,
+)
 from cassiaford.policy._server_health import (
     ServerHealth,
 )
@@ -54,7 +78,15 @@
     "FifoQueue",
     "GROUP_WINDOW_S",
     "MAX_ATTEMPTS",
+    "Member",
+    "MemberChanged",
+    "MemberState",
+    "MemberUpdate",
+    "Membership",
+    "MembershipMessage",
+    "MessageKind",
     "OUTCOME_WINDOW_S",
+    "PeerHeard",
     "Placement",
     "PlacementPolicy",
     "PlacementRequest",
@@ -63,13 +95,21 @@
     "RequestQueue",
     "RetryBudget",
     "RetryDecision",
+    "RevisionChange",
+    "RevisionPolicy",
+    "SendMessage",
     "ServerHealth",
     "ServerView",
     "Settled",
     "ShardBook",
+    "Superseded",
     "Ticket",
     "WriteShard",
+    "choose_instance",
     "conflict_delay",
     "ended_record",
+    "from cassiaford.policy._lookup import (     ENTRIES_MAX_AGE_S",
+    "next_configuration",
+    "rank_entries",
     "unavailable",
 ]
