--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -4,11 +4,112 @@
 `random.Random`; messages go in and actions come out as frozen data classes.
 """
 
+from cassiaford.policy._claim_shard import (
+    GROUP_WINDOW_S,
+    OUTCOME_WINDOW_S,
+    ReadShard,
+    Settled,
+    ShardBook,
+    WriteShard,
+    conflict_delay,
+)
+from cassiaford.policy._claims import (
+    Claim,
+    ClaimAnswer,
+    ClaimRecord,
+    ClaimState,
+    RecordedOutcome,
+    choose_instance,
+    ended_record,
+    from cassiaford.policy._lookup import (     ENTRIES_MAX_AGE_S,
+    rank_entries,
+    unavailable,
+)
+from cassiaford.policy._member import (
+    Member,
+    MemberState,
+    MemberUpdate,
+)
+from cassiaford.policy._membership import (
+    Membership,
+)
+from cassiaford.policy._membership_messages import (
+    MemberChanged,
+    MembershipMessage,
+    MessageKind,
+    PeerHeard,
+    SendMessage,
+    Superseded,
+)
 from cassiaford.policy._placement import (
     Placement,
     PlacementPolicy,
     PlacementRequest,
     ServerView,
 )
+from cassiaford.policy._queue import (
+    FifoQueue,
+    RequestQueue,
+    Ticket,
+)
+from cassiaford.policy._retries import (
+    FailedRequest,
+    Failure,
+    MAX_ATTEMPTS,
+    RetryBudget,
+    RetryDecision,
+)
+from cassiaford.policy._revisions import (
+    RevisionChange,
+    RevisionPolicy,
+    next_configuration,
+)
+from cassiaford.policy._server_health import (
+    ServerHealth,
+)
 
-__all__ = ["Placement", "PlacementPolicy", "PlacementRequest", "ServerView"]
+__all__ = [
+    "Claim",
+    "ClaimAnswer",
+    "ClaimRecord",
+    "ClaimState",
+    "FailedRequest",
+    "Failure",
+    "FifoQueue",
+    "GROUP_WINDOW_S",
+    "MAX_ATTEMPTS",
+    "Member",
+    "MemberChanged",
+    "MemberState",
+    "MemberUpdate",
+    "Membership",
+    "MembershipMessage",
+    "MessageKind",
+    "OUTCOME_WINDOW_S",
+    "PeerHeard",
+    "Placement",
+    "PlacementPolicy",
+    "PlacementRequest",
+    "ReadShard",
+    "RecordedOutcome",
+    "RequestQueue",
+    "RetryBudget",
+    "RetryDecision",
+    "RevisionChange",
+    "RevisionPolicy",
+    "SendMessage",
+    "ServerHealth",
+    "ServerView",
+    "Settled",
+    "ShardBook",
+    "Superseded",
+    "Ticket",
+    "WriteShard",
+    "choose_instance",
+    "conflict_delay",
+    "ended_record",
+    "from cassiaford.policy._lookup import (     ENTRIES_MAX_AGE_S",
+    "next_configuration",
+    "rank_entries",
+    "unavailable",
+]
