--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -6,6 +6,7 @@
 
 import pathlib
 import secrets
+import sys
 import tempfile
 import time
 from collections.abc import Sequence
@@ -32,9 +33,11 @@
     """What an installation is made of.
 
     `engine_options` are given to every engine. `settings` holds settings of
-    the instances beside the addresses and secrets, by section.
+    the instances beside the addresses and secrets, by section, and `program`
+    is the command that they are started with.
     """
 
+    program: tuple[str, ...] = (sys.executable, "-m", "cassiaford")
     instances: int = 3
     engines: int = 2
     services: int = 1
@@ -164,7 +167,7 @@
         self.instances[name] = addresses
         path = self.directory / f"{name}.toml"
         path.write_text(tomli_w.dumps(self._settings(addresses)), "utf-8")
-        command = ["-m", "cassiaford", "serve", "--settings", str(path)]
+        command = [*self.layout.program, "serve", "--settings", str(path)]
         self.group.start(name, command)
         self.incarnations += 1
         self._put_on_list(addresses, leaving=False)
