--- /dev/null
+++ b/src/cassiaford/policy/_prefix_placement.py
@@ -0,0 +1,298 @@
+"""Placement by prefix: a function first, corrected by what is heard.
+
+Rendezvous hashing on nested prefixes names the home servers of a prompt, so
+that instances agree without talking and a new one places well at once.
+Beliefs about caches and queues then choose by expected time.
+"""
+
+import itertools
+import random
+from collections.abc import Iterable, Mapping, Sequence
+
+from cassiaford.engines import (
+    BLOCK_BYTES,
+    BYTES_PER_TOKEN,
+    CacheEventKind,
+    CacheEvents,
+    LoadReport,
+)
+from cassiaford.policy._block_table import BlockTable
+from cassiaford.policy._placement import (
+    Placement,
+    PlacementPolicy,
+    PlacementRequest,
+    ServerView,
+)
+from cassiaford.policy._prefix_homes import HomeFinder, Homes, PromptBlocks
+from cassiaford.policy._server_load import SentRequest, ServerLoad
+
+BLOCK_TOKENS = BLOCK_BYTES // BYTES_PER_TOKEN
+DEFAULT_TOKENS_PER_S = 20_000.0
+DEFAULT_KNOWN_BLOCKS = 32_768
+# Up to this many backend servers are all scored; of more, only candidates.
+SCORE_ALL_SERVERS = 16
+SPARE_HOMES = 2
+SCORED_HOLDERS = 8
+SAMPLED_SERVERS = 4
+# Computing a token costs later requests too, so it weighs more than a wait.
+RECOMPUTE_WEIGHT = 1.5
+# How far a home is credited with blocks before its events have been heard.
+COLD_CREDIT = 0.8
+# After listening this long, a block not heard of is taken to be absent.
+LISTENING_S = 20.0
+# How far a home is preferred where its cache is known to lack the blocks.
+HOME_CREDIT = 0.1
+# Messages of an incarnation that has ended are refused for this long.
+RETIRED_S = 60.0
+# Random part of a score, so that instances do not all choose alike.
+JITTER_S = 0.005
+# Expected wait for a slot where the last report had none free.
+SLOT_WAIT_S = 1.0
+
+
+def create_placement(
+    tokens_per_s: float = DEFAULT_TOKENS_PER_S,
+    known_blocks: int = DEFAULT_KNOWN_BLOCKS,
+) -> "PrefixPlacement":
+    """Return a placement policy.
+
+    `tokens_per_s` is the speed at which a backend server is assumed to
+    compute prompts until it is known better; `known_blocks` bounds the table
+    of blocks.
+    """
+    return PrefixPlacement(BlockTable(known_blocks), tokens_per_s)
+
+
+class PrefixPlacement(PlacementPolicy):
+    """Places requests where their prefix is, or where it belongs.
+
+    Everything learned may be lost at any time: homes follow from the hashes.
+    Block hashes are scoped by customer, model and version, and beliefs are
+    dropped with the incarnation of their backend server.
+
+    Examples
+    --------
+    >>> policy = create_placement()
+    >>> request = PlacementRequest("r1", 2048, 16, chain=(11, 12))
+    >>> servers = [ServerView("a", slots=8), ServerView("b", slots=8)]
+    >>> first = policy.place(request, servers, 0.0, random.Random(1))
+    >>> first.server == policy.place(request, servers, 0.0, random.Random(2)).server
+    True
+    """
+
+    def __init__(self, table: BlockTable, tokens_per_s: float):
+        self.table = table
+        self.tokens_per_s = tokens_per_s
+        self.home_finder = HomeFinder(table)
+        self.loads = {}
+        self._names = {}
+        self._server_of = {}
+        self._retired = {}
+        self._latest = 0.0
+
+    def place(
+        self,
+        request: PlacementRequest,
+        servers: Sequence[ServerView],
+        now: float,
+        rng: random.Random,
+    ) -> Placement | None:
+        """Return the usable backend server with the lowest expected cost."""
+        views = {view.name: view for view in servers}
+        prompt = PromptBlocks(request.chain, self.table)
+        homes = self.home_finder.homes(prompt, views, now)
+        usable_homes = _usable_homes(homes, views, request)
+        best, best_cost = None, 0.0
+        for view in self._candidates(prompt, homes, views, request, rng):
+            load = self._load(view.name)
+            held = min(prompt.held(load.bit) * BLOCK_TOKENS, request.prompt_tokens)
+            wait_s = self._wait_s(load, view, now)
+            missing = request.prompt_tokens - held
+            cost = wait_s + RECOMPUTE_WEIGHT * missing / load.tokens_per_s
+            cost += JITTER_S * rng.random()
+            if view.name in usable_homes:
+                credit = missing * _home_credit(load, now)
+                cost -= RECOMPUTE_WEIGHT * credit / load.tokens_per_s
+            if best is None or cost < best_cost:
+                expected_s = wait_s + missing / load.tokens_per_s
+                best = Placement(view.name, held, expected_s)
+                best_cost = cost
+        return best
+
+    def started(
+        self, placement: Placement, request: PlacementRequest, now: float
+    ) -> None:
+        """Expect the prompt's blocks on the server and its work before it."""
+        load = self._load(placement.server)
+        tokens = request.prompt_tokens - placement.cached_tokens
+        ahead = load.waiting_tokens(now)
+        cached = placement.cached_tokens // BLOCK_TOKENS
+        load.add(SentRequest(request, tokens, ahead, now, cached))
+        self._server_of[request.request_id] = placement.server
+        weight = self.table.weight_at(now)
+        self.table.total_weight += weight
+        for block in request.chain:
+            known = self.table.add(block)
+            known.weight += weight
+            known.holders |= load.bit
+
+    def first_token(self, request_id: str, now: float) -> None:
+        """Learn the server's speed; its queue is shorter by the prompt."""
+        load = self.loads.get(self._server_of.pop(request_id, None))
+        sent = load.remove(request_id) if load else None
+        if sent is not None:
+            load.learn_speed(sent, now)
+
+    def finished(self, request_id: str, now: float) -> None:
+        """Drop what was expected of a request that got no first token."""
+        load = self.loads.get(self._server_of.pop(request_id, None))
+        sent = load.remove(request_id) if load else None
+        if sent is None:
+            return
+        for block in sent.request.chain[sent.cached_blocks :]:
+            known = self.table.find(block)
+            if known is not None:
+                known.holders &= ~load.bit
+
+    def observe_load(self, server: str, report: LoadReport, now: float) -> None:
+        """Take in a load report, unless an earlier incarnation sent it."""
+        if self._is_current(server, report.incarnation, now):
+            self.loads[server].take_report(report, now)
+
+    def observe_events(self, server: str, events: CacheEvents, now: float) -> None:
+        """Take in cache events, unless an earlier incarnation sent them.
+
+        A gap needs no action: a wrong belief costs one recomputation, after
+        which it is right.
+        """
+        if not self._is_current(server, events.incarnation, now):
+            return
+        load = self.loads[server]
+        if load.listening_since is None:
+            load.listening_since = now
+        for event in events.events:
+            if event.kind is CacheEventKind.STORED:
+                self._stored(event.block, load.bit)
+            else:
+                self._evicted(event.block, load.bit)
+
+    def forget(self, server: str) -> None:
+        """Drop every belief about a server that left or came back empty."""
+        load = self.loads.pop(server, None)
+        if load is None:
+            return
+        del self._names[load.bit]
+        self.table.drop_holder(load.bit)
+        if load.incarnation is not None:
+            self._retire(server, load.incarnation)
+        for request_id in load.sent:
+            self._server_of.pop(request_id, None)
+
+    def _load(self, server: str) -> ServerLoad:
+        load = self.loads.get(server)
+        if load is None:
+            bit = self._free_bit()
+            load = ServerLoad(bit, self.tokens_per_s)
+            self.loads[server] = load
+            self._names[bit] = server
+        return load
+
+    def _free_bit(self) -> int:
+        taken = sum(self._names)
+        return ~taken & (taken + 1)
+
+    def _is_current(self, server: str, incarnation: str, now: float) -> bool:
+        # Nothing orders two incarnations, so one that ended is remembered for
+        # longer than its messages may be late.
+        self._latest = now
+        retired_at = self._retired.get((server, incarnation))
+        if retired_at is not None and now - retired_at < RETIRED_S:
+            return False
+        load = self._load(server)
+        former = load.enter(incarnation)
+        if former is not None:
+            self._retire(server, former)
+            self.table.drop_holder(load.bit)
+        return True
+
+    def _retire(self, server: str, incarnation: str) -> None:
+        horizon = self._latest - RETIRED_S
+        self._retired = {key: at for key, at in self._retired.items() if at > horizon}
+        self._retired[server, incarnation] = self._latest
+
+    def _stored(self, block: int, bit: int) -> None:
+        known = self.table.find(block)
+        if known is None:
+            if not self.table.has_room:
+                return
+            known = self.table.add(block)
+        known.holders |= bit
+
+    def _evicted(self, block: int, bit: int) -> None:
+        known = self.table.find(block)
+        if known is not None:
+            known.holders &= ~bit
+
+    def _wait_s(self, load: ServerLoad, view: ServerView, now: float) -> float:
+        wait_s = load.waiting_tokens(now) / load.tokens_per_s
+        return wait_s + SLOT_WAIT_S if load.lacks_slot(view.slots) else wait_s
+
+    def _candidates(
+        self,
+        prompt: PromptBlocks,
+        homes: Homes,
+        views: Mapping[str, ServerView],
+        request: PlacementRequest,
+        rng: random.Random,
+    ) -> Iterable[ServerView]:
+        if len(views) <= SCORE_ALL_SERVERS:
+            return [view for view in views.values() if _is_usable(view, request)]
+        names = dict.fromkeys(homes.ranking[: homes.needed + SPARE_HOMES])
+        names.update(dict.fromkeys(self._holders(prompt, rng)))
+        names.update(dict.fromkeys(rng.sample(tuple(views), SAMPLED_SERVERS)))
+        chosen = [views[name] for name in names if name in views]
+        usable = [view for view in chosen if _is_usable(view, request)]
+        if usable:
+            return usable
+        return [view for view in views.values() if _is_usable(view, request)]
+
+    def _holders(self, prompt: PromptBlocks, rng: random.Random) -> list[str]:
+        names = []
+        for length, holders in prompt.runs:
+            if length:
+                room = SCORED_HOLDERS - len(names)
+                bits = _some_bits(holders, room, rng)
+                names.extend(self._names[bit] for bit in bits)
+        return names
+
+
+def _is_usable(view: ServerView, request: PlacementRequest) -> bool:
+    if view.suspected or view.in_flight >= view.slots:
+        return False
+    return view.name not in request.excluded
+
+
+def _usable_homes(
+    homes: Homes, views: Mapping[str, ServerView], request: PlacementRequest
+) -> list[str]:
+    usable = (name for name in homes.ranking if _is_usable(views[name], request))
+    return list(itertools.islice(usable, homes.needed))
+
+
+def _home_credit(load: ServerLoad, now: float) -> float:
+    if load.listening_since is None:
+        return COLD_CREDIT
+    unheard = 1.0 - (now - load.listening_since) / LISTENING_S
+    return max(HOME_CREDIT, COLD_CREDIT * unheard)
+
+
+def _some_bits(bits: int, limit: int, rng: random.Random) -> list[int]:
+    # Begins at a random place, so that the lowest bits are not always taken.
+    upper = bits >> (start := rng.randrange(bits.bit_length())) << start
+    chosen = []
+    for part in (upper, bits ^ upper):
+        while part and len(chosen) < limit:
+            bit = part & -part
+            chosen.append(bit)
+            part ^= bit
+    return chosen
--- /dev/null
+++ b/src/cassiaford/policy/_server_load.py
@@ -0,0 +1,110 @@
+"""What is believed of one backend server's queue and speed."""
+
+from dataclasses import dataclass
+
+from cassiaford.engines import LoadReport
+from cassiaford.policy._placement import PlacementRequest
+
+# A report describes the backend server as it was about this long ago.
+REPORT_LAG_S = 0.3
+# Requests with fewer tokens to compute say more of the network than the speed.
+MIN_TOKENS_FOR_SPEED = 2048
+# The share that one request has in the learned speed.
+SPEED_GAIN = 0.05
+# A learned speed stays within this factor of the one assumed at first.
+MAX_SPEED_FACTOR = 8.0
+
+
+@dataclass(frozen=True)
+class SentRequest:
+    """A request on a backend server that has not got its first token.
+
+    `tokens` is the part of its prompt that has to be computed, `ahead` the
+    tokens that were waiting before it; `cached_blocks` blocks of its chain
+    were believed to be there when it was sent.
+    """
+
+    request: PlacementRequest
+    tokens: int
+    ahead: float
+    sent_at: float
+    cached_blocks: int
+
+
+class ServerLoad:
+    """One backend server as one instance sees it.
+
+    `bit` marks it in the sets of block holders. Reports lag, so requests of
+    our own that they cannot hold yet are added to them.
+    """
+
+    def __init__(self, bit: int, tokens_per_s: float):
+        self.bit = bit
+        self.tokens_per_s = tokens_per_s
+        self.assumed_tokens_per_s = tokens_per_s
+        self.incarnation = None
+        self.listening_since = None
+        self.report = None
+        self.reported_at = 0.0
+        self.sent = {}
+        self.own_tokens = 0
+        self.unreported_tokens = 0
+
+    def waiting_tokens(self, now: float) -> float:
+        """Return the prompt tokens that a new request would wait for."""
+        if self.report is None:
+            return self.own_tokens
+        drained = (now - self.reported_at) * self.tokens_per_s
+        reported = max(0.0, self.report.queued_tokens - drained)
+        return max(self.own_tokens, reported + self.unreported_tokens)
+
+    def lacks_slot(self, slots: int) -> bool:
+        """Return whether the last report says that every slot is taken."""
+        report = self.report
+        return report is not None and report.running + report.waiting >= slots
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Take in a load report of the present incarnation."""
+        self.report = report
+        self.reported_at = now
+        horizon = now - REPORT_LAG_S
+        self.unreported_tokens = sum(
+            sent.tokens for sent in self.sent.values() if sent.sent_at > horizon
+        )
+
+    def add(self, sent: SentRequest) -> None:
+        """Take note of a request sent."""
+        self.sent[sent.request.request_id] = sent
+        self.own_tokens += sent.tokens
+        self.unreported_tokens += sent.tokens
+
+    def remove(self, request_id: str) -> SentRequest | None:
+        """Take a request away that got its first token or ended before it."""
+        sent = self.sent.pop(request_id, None)
+        if sent is not None:
+            self.own_tokens -= sent.tokens
+            self.unreported_tokens = max(0, self.unreported_tokens - sent.tokens)
+        return sent
+
+    def learn_speed(self, sent: SentRequest, now: float) -> None:
+        """Correct the speed by the time that one prompt has taken."""
+        elapsed = now - sent.sent_at
+        if sent.tokens < MIN_TOKENS_FOR_SPEED or elapsed <= 0:
+            return
+        seen = (sent.tokens + sent.ahead) / elapsed
+        speed = self.tokens_per_s + SPEED_GAIN * (seen - self.tokens_per_s)
+        lowest = self.assumed_tokens_per_s / MAX_SPEED_FACTOR
+        highest = self.assumed_tokens_per_s * MAX_SPEED_FACTOR
+        self.tokens_per_s = min(highest, max(lowest, speed))
+
+    def enter(self, incarnation: str) -> str | None:
+        """Go over to an incarnation; return the former one if it has ended."""
+        former = self.incarnation
+        if incarnation == former:
+            return None
+        self.incarnation = incarnation
+        if former is not None:
+            self.report = None
+            self.listening_since = None
+            self.tokens_per_s = self.assumed_tokens_per_s
+        return former
