--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -19,12 +19,18 @@
     ClaimRecord,
     ClaimState,
     RecordedOutcome,
-    choose_instance,
     ended_record,
-    from cassiaford.policy._lookup import (     ENTRIES_MAX_AGE_S,
-    rank_entries,
     unavailable,
 )
+from cassiaford.policy._fair_queue import (
+    FairQueue,
+    create_fair_queue,
+)
+from cassiaford.policy._lookup import (
+    ENTRIES_MAX_AGE_S,
+    choose_instance,
+    rank_entries,
+)
 from cassiaford.policy._member import (
     Member,
     MemberState,
@@ -47,15 +53,19 @@
     PlacementRequest,
     ServerView,
 )
+from cassiaford.policy._prefix_placement import (
+    PrefixPlacement,
+    create_placement,
+)
 from cassiaford.policy._queue import (
     FifoQueue,
     RequestQueue,
     Ticket,
 )
 from cassiaford.policy._retries import (
+    MAX_ATTEMPTS,
     FailedRequest,
     Failure,
-    MAX_ATTEMPTS,
     RetryBudget,
     RetryDecision,
 )
@@ -75,6 +85,7 @@
     "ClaimState",
     "FailedRequest",
     "Failure",
+    "FairQueue",
     "FifoQueue",
     "GROUP_WINDOW_S",
     "MAX_ATTEMPTS",
@@ -90,6 +101,7 @@
     "Placement",
     "PlacementPolicy",
     "PlacementRequest",
+    "PrefixPlacement",
     "ReadShard",
     "RecordedOutcome",
     "RequestQueue",
@@ -107,8 +119,10 @@
     "WriteShard",
     "choose_instance",
     "conflict_delay",
+    "create_fair_queue",
+    "create_placement",
     "ended_record",
-    "from cassiaford.policy._lookup import (     ENTRIES_MAX_AGE_S",
+    "ENTRIES_MAX_AGE_S",
     "next_configuration",
     "rank_entries",
     "unavailable",
