--- a/src/cassiaford/policy/_queue.py
+++ b/src/cassiaford/policy/_queue.py
@@ -41,6 +41,14 @@
     def expire(self, now: float) -> tuple[Ticket, ...]:
         """Remove and return the tickets whose deadline has passed."""
 
+    @abstractmethod
+    def discard(self, request_id: str) -> None:
+        """Remove the ticket of a request whose caller has left, if it is here."""
+
+    @abstractmethod
+    def __len__(self) -> int:
+        """Return the number of tickets that wait."""
+
 
 class FifoQueue(RequestQueue):
     """A bounded queue in order of arrival.
@@ -83,3 +91,14 @@
         for ticket in expired:
             self.tickets.remove(ticket)
         return expired
+
+    def discard(self, request_id: str) -> None:
+        """Remove the ticket of a request whose caller has left, if it is here."""
+        for ticket in self.tickets:
+            if ticket.request_id == request_id:
+                self.tickets.remove(ticket)
+                return
+
+    def __len__(self) -> int:
+        """Return the number of tickets that wait."""
+        return len(self.tickets)
