--- a/src/cassiaford/engines/_poller.py
+++ b/src/cassiaford/engines/_poller.py
@@ -1,5 +1,6 @@
 """Asking the engines, again and again, for their load and cache events."""
 
+import random
 import threading
 import time
 from abc import ABC, abstractmethod
@@ -21,8 +22,12 @@
 REACHABLE_THREADS = 16
 UNREACHABLE_THREADS = 4
 # With many engines each is asked less often, so that the polls stay within this.
-MAX_POLLS_PER_S = 100.0
-TICK_S = 0.05
+MAX_POLLS_PER_S = 10.0
+# Spreads the polls of engines that joined at the same moment.
+JITTER = 0.2
+# How often to look for engines that are due: so many times in an interval.
+TICKS_PER_INTERVAL = 4
+MAX_TICK_S = 0.5
 # An engine that does not answer is asked less and less often, up to this.
 MAX_BACKOFF_S = 5.0
 # The sequence number after which an engine's events are all of them.
@@ -109,7 +114,8 @@
                 self._submit_due()
             except Exception as error:
                 self.journal.record(Event.THREAD_FAILED, error=repr(error))
-            self.stopping.wait(min(TICK_S, self.interval_s))
+            tick_s = self.interval_now_s() / TICKS_PER_INTERVAL
+            self.stopping.wait(min(MAX_TICK_S, tick_s))
 
     def _follow_configuration(self):
         addresses = _joined_engines(self.configuration())
@@ -169,7 +175,8 @@
         except Exception as error:
             # A fault in an observer must not end the polling.
             self._record(Event.THREAD_FAILED, error=repr(error))
-        self.due_at = time.monotonic() + self.delay_s
+        jitter = random.uniform(1.0 - JITTER, 1.0 + JITTER)
+        self.due_at = time.monotonic() + self.delay_s * jitter
         self.in_flight = False
 
     def _follow_address(self):
