--- /dev/null
+++ b/src/cassiaford/cli/_serve.py
@@ -0,0 +1,60 @@
+"""The command that runs an instance."""
+
+import signal
+import threading
+from pathlib import Path
+
+import typer
+
+from cassiaford.cli._app import app
+from cassiaford.instance import create_instance
+from cassiaford.logs import configure_logging
+from cassiaford.settings import SettingsError, load_settings
+
+EXIT_CUT_SHORT = 1
+EXIT_USAGE = 2
+
+
+@app.command()
+def serve(
+    settings: Path = typer.Option(..., "--settings", "-s", help="The TOML file."),
+) -> None:
+    """Run an entry instance until SIGTERM or SIGINT.
+
+    The first signal starts a graceful shutdown, a second one ends it. The
+    exit status is 0 if every accepted request was finished, 1 if some had to
+    be cut, and 2 if the settings cannot be used.
+    """
+    try:
+        checked = load_settings(settings)
+    except SettingsError as error:
+        for mistake in error.mistakes:
+            typer.echo(f"{error.source}: {mistake}", err=True)
+        raise typer.Exit(EXIT_USAGE) from None
+    configure_logging(checked.log.format, checked.log.level)
+    if _run(create_instance(checked)):
+        raise typer.Exit(EXIT_CUT_SHORT)
+
+
+def _run(instance):
+    asked_to_stop = threading.Event()
+    finished = threading.Event()
+    cut = []
+
+    def handle_signal(number, frame):
+        if asked_to_stop.is_set():
+            threading.Thread(target=instance.cut_short, daemon=True).start()
+        asked_to_stop.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, handle_signal)
+
+    def drain_when_asked():
+        asked_to_stop.wait()
+        cut.append(instance.drain())
+        finished.set()
+
+    threading.Thread(target=drain_when_asked, daemon=True).start()
+    instance.start()
+    finished.wait()
+    return cut[0]
--- /dev/null
+++ b/src/cassiaford/instance/_acceptance.py
@@ -0,0 +1,91 @@
+"""Accept: claim a request that runs at most once, then hand it over."""
+
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+import xxhash
+
+from cassiaford.fleet import ClaimService
+from cassiaford.instance._http import Exchange
+from cassiaford.pipeline import AdmittedRequest, Dispatcher, Header, Outcome
+from cassiaford.pipeline._admit import IDEMPOTENCY_HEADER
+from cassiaford.pipeline._answers import REQUEST_ID_HEADER, VERDICT_HEADER
+from cassiaford.pipeline._settle import Settler
+from cassiaford.policy import Claim, RecordedOutcome
+from cassiaford.verdict import Refusal, RefusalReason, Verdict, refuse
+
+MAX_IDEMPOTENCY_KEY_LENGTH = 255
+REPLAYED_HEADER = "Idempotent-Replayed"
+
+
+class Acceptor:
+    """Hands admitted requests to the dispatcher, claimed where they must be."""
+
+    def __init__(
+        self,
+        claims: ClaimService,
+        dispatcher: Dispatcher,
+        settler: Settler,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.claims = claims
+        self.dispatcher = dispatcher
+        self.settler = settler
+        self.clock = clock
+
+    def accept(self, request: AdmittedRequest, exchange: Exchange) -> Refusal | None:
+        """Take a request over; return a refusal if it must not run."""
+        if request.repeatable:
+            self.dispatcher.submit(request, exchange.detach(), self.settler.settle)
+            return None
+        answer = self._claim(request)
+        if isinstance(answer, Claim):
+            self._submit_claimed(request, answer, exchange)
+            return None
+        self.settler.give_back_all(request)
+        if isinstance(answer, RecordedOutcome):
+            _replay(answer, exchange)
+            return None
+        return answer
+
+    def _claim(self, request):
+        caller = request.authenticated.caller
+        key = caller.header(IDEMPOTENCY_HEADER)
+        if not key or len(key) > MAX_IDEMPOTENCY_KEY_LENGTH:
+            return refuse(
+                RefusalReason.MISSING_IDEMPOTENCY_KEY,
+                "this request runs at most once and needs the header"
+                f" Idempotency-Key of 1 to {MAX_IDEMPOTENCY_KEY_LENGTH} characters",
+            )
+        return self.claims.claim(
+            request.customer_name, key, _fingerprint(caller), request.request_id
+        )
+
+    def _submit_claimed(self, request, claim, exchange):
+        def settle(settled: AdmittedRequest, outcome: Outcome) -> None:
+            self.claims.record(claim, outcome)
+            self.settler.settle(settled, outcome)
+
+        # A request that waits past the claim's time limit must not start.
+        deadline = min(request.deadline, claim.start_by)
+        claimed = replace(request, deadline=deadline)
+        self.dispatcher.submit(claimed, exchange.detach(), settle)
+
+
+def _fingerprint(caller):
+    digest = xxhash.xxh3_128()
+    for part in (caller.method.encode(), caller.target.encode(), caller.body):
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return digest.hexdigest()
+
+
+def _replay(outcome, exchange):
+    headers = [
+        Header(VERDICT_HEADER, Verdict.RAN.value),
+        Header(REQUEST_ID_HEADER, outcome.request_id),
+        Header(REPLAYED_HEADER, "true" if outcome.body_kept else "status-only"),
+    ]
+    if outcome.content_type:
+        headers.append(Header("Content-Type", outcome.content_type))
+    exchange.answer(outcome.status, headers, outcome.body)
--- a/src/cassiaford/instance/_http.py
+++ b/src/cassiaford/instance/_http.py
@@ -239,6 +239,11 @@
             thread.start()
             self.threads.append(thread)
 
+    def stop_serving(self) -> None:
+        """Close the port; connections that are being served go on."""
+        if self.ready:
+            self.stop()
+
     def error_log(self, msg="", level=20, traceback=False):
         """Report an error that cheroot met."""
         if level >= 40:
--- /dev/null
+++ b/src/cassiaford/instance/_instance.py
@@ -0,0 +1,229 @@
+"""One entry instance: its parts wired together, started and stopped."""
+
+import random
+import threading
+import time
+
+from cassiaford.engines import create_engine_control, create_poller
+from cassiaford.fleet import create_claims, create_fleet
+from cassiaford.instance._acceptance import Acceptor
+from cassiaford.instance._handler import RequestHandler
+from cassiaford.instance._http import CallerServer
+from cassiaford.instance._local import InstanceView, LocalEndpoints
+from cassiaford.keyvalue import connect_instance_list, connect_key_value
+from cassiaford.logs import Event
+from cassiaford.metrics import Metrics
+from cassiaford.pipeline import (
+    AdmitFilter,
+    AuthenticateFilter,
+    Limiter,
+    ReceiveFilter,
+    create_dispatcher,
+)
+from cassiaford.pipeline._settle import Settler
+from cassiaford.policy import create_fair_queue, create_placement
+from cassiaford.settings import Settings
+from cassiaford.timeline import HybridClock, Journal
+
+POLL_INTERVAL_S = 0.5
+POLL_TIMEOUT_S = 1.0
+READY_CHECK_S = 0.02
+MEMBER_CHECK_S = 0.5
+STOP_TIMEOUT_S = 5.0
+
+
+class Instance(InstanceView):
+    """An entry instance.
+
+    `start` returns once the instance is ready to serve; `drain` is the
+    graceful shutdown and returns the number of requests that it had to cut.
+    """
+
+    def __init__(self, settings: Settings, incarnation: int):
+        self.settings = settings
+        self.incarnation = incarnation
+        clock = HybridClock(time.time)
+        self.journal = Journal(settings.instance, incarnation, clock)
+        self.metrics = Metrics()
+        self.stopping = threading.Event()
+        self.is_ready = False
+        self.is_draining = False
+        self.cut_early = 0
+        self.known_members = set()
+        self._create_fleet()
+        self._create_dispatch()
+        self._create_front()
+
+    @property
+    def configuration(self):
+        """The configuration in force."""
+        return self.fleet.configuration.current
+
+    @property
+    def ready(self):
+        """Whether the instance takes requests."""
+        return self.is_ready
+
+    @property
+    def draining(self):
+        """Whether a graceful shutdown has started."""
+        return self.is_draining
+
+    @property
+    def in_flight(self):
+        """The number of accepted requests that have not ended."""
+        return self.dispatcher.in_flight
+
+    def members(self):
+        """Return the live members of the fleet, this instance first."""
+        return self.fleet.members()
+
+    def entries(self, customer, data_centre):
+        """Return the entry instances for a customer, best first."""
+        return self.fleet.entries(customer, data_centre)
+
+    def start(self) -> None:
+        """Start all parts; return when the instance is ready to serve."""
+        self.journal.record(Event.INSTANCE_STARTED, incarnation=self.incarnation)
+        self.fleet.start()
+        self.dispatcher.start()
+        self.poller.start()
+        threading.Thread(target=self._watch_members, daemon=True).start()
+        self._wait_for_configuration()
+        self.server.start_serving()
+        self.is_ready = True
+        self.fleet.announce_ready()
+        self.journal.record(Event.INSTANCE_READY, address=self.settings.http.address)
+
+    def drain(self) -> int:
+        """Leave the fleet, finish accepted requests, and stop.
+
+        Callers may use an answer of the lookup until its age limit, so new
+        requests are served for that long after this instance left it.
+        """
+        self.is_draining = True
+        self.journal.record(Event.DRAIN_STARTED, in_flight=self.in_flight)
+        self.server.draining = True
+        self.fleet.leave()
+        self.stopping.wait(self.settings.limits.lookup_max_age_s)
+        self.server.stop_serving()
+        cut = self.dispatcher.drain(self.settings.limits.drain_timeout_s)
+        cut += self.cut_early
+        self.stop()
+        event = Event.DRAIN_CUT_SHORT if cut else Event.DRAIN_FINISHED
+        self.journal.record(event, cut=cut)
+        return cut
+
+    def cut_short(self) -> None:
+        """End the wait of a graceful shutdown, cutting what still runs."""
+        self.stopping.set()
+        self.cut_early += self.dispatcher.relay.cut_all(STOP_TIMEOUT_S)
+
+    def stop(self) -> None:
+        """Stop all parts; what is still running is cut."""
+        self.stopping.set()
+        self.server.stop_serving()
+        self.poller.stop()
+        self.dispatcher.stop(STOP_TIMEOUT_S)
+        self.claims.stop(STOP_TIMEOUT_S)
+        self.fleet.stop()
+
+    def _create_fleet(self):
+        settings = self.settings
+        key_value = connect_key_value(settings.key_value)
+        self.fleet = create_fleet(
+            settings,
+            key_value,
+            connect_instance_list(settings.key_value),
+            self.journal,
+            self.incarnation,
+            time.monotonic,
+        )
+        self.claims = create_claims(
+            key_value, self.journal, settings.instance, self.incarnation
+        )
+        self.limiter = _Unmetered()
+        self.fleet.configuration.on_change(self._configuration_changed)
+
+    def _create_dispatch(self):
+        settings = self.settings
+        self.dispatcher = create_dispatcher(
+            settings.limits,
+            self._current,
+            create_placement(),
+            self.journal,
+            random.Random(f"{settings.instance}/{self.incarnation}/dispatch"),
+            queue=create_fair_queue(settings.limits.queue_length),
+        )
+        self.poller = create_poller(
+            self._current,
+            create_engine_control(POLL_TIMEOUT_S),
+            self.dispatcher,
+            self.journal,
+            POLL_INTERVAL_S,
+        )
+
+    def _create_front(self):
+        settings = self.settings
+        settler = Settler(self.limiter, self.metrics, self.journal)
+        authenticate = AuthenticateFilter(self._current, self._is_fresh)
+        local = LocalEndpoints(
+            self,
+            authenticate,
+            self.metrics,
+            self.journal,
+            settings.control.token.get_secret_value(),
+            settings.limits.lookup_max_age_s,
+        )
+        handler = RequestHandler(
+            ReceiveFilter(),
+            local,
+            (authenticate, AdmitFilter(self._current, self.limiter, settings.limits)),
+            Acceptor(self.claims, self.dispatcher, settler).accept,
+            settler,
+            self.metrics,
+            self.journal,
+        )
+        self.server = CallerServer(settings.http, handler.handle, self._server_failed)
+
+    def _current(self):
+        return self.fleet.configuration.current
+
+    def _is_fresh(self):
+        return self.fleet.configuration.fresh(time.monotonic())
+
+    def _configuration_changed(self, old, new):
+        self.journal.revision = new.revision
+
+    def _wait_for_configuration(self):
+        while not self.fleet.configuration.ready() and not self.stopping.is_set():
+            self.stopping.wait(READY_CHECK_S)
+
+    def _watch_members(self):
+        while not self.stopping.wait(MEMBER_CHECK_S):
+            live = {(m.instance, m.incarnation) for m in self.members()}
+            for instance, incarnation in self.known_members - live:
+                self.claims.mark_gone(instance, incarnation)
+            self.known_members = live
+
+    def _server_failed(self, text):
+        self.journal.record(Event.THREAD_FAILED, part="http", text=text)
+
+
+class _Unmetered(Limiter):
+    """Admits everything, until the rate shares are wired in."""
+
+    def charge(self, customer, tokens):
+        """Admit."""
+
+    def refund(self, customer_name, tokens):
+        """Take nothing back."""
+
+
+def create_instance(settings: Settings) -> Instance:
+    """Return an instance with these settings, not yet started.
+
+    The incarnation is the time of creation in milliseconds, so that it is
+    higher than any before it.
+    """
+    return Instance(settings, int(time.time() * 1000))
--- a/src/cassiaford/logs/_output.py
+++ b/src/cassiaford/logs/_output.py
@@ -4,7 +4,7 @@
 import logging as standard_logging
 import sys
 
-from absl import logging
+from absl import flags, logging
 
 from cassiaford.logs._catalogue import Level
 
@@ -43,6 +43,9 @@
 
 def configure_logging(form: str, level: str) -> None:
     """Send log lines of at least a level to standard error in a form."""
+    # absl warns about each process that logs before its own flags are parsed;
+    # this one has none.
+    flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     formatter = _JsonFormatter() if form == "json" else _TextFormatter()
     handler.setFormatter(formatter)
--- a/src/cassiaford/pipeline/_settle.py
+++ b/src/cassiaford/pipeline/_settle.py
@@ -44,6 +44,11 @@
         self._count_verdict("", customer_name, refusal.verdict)
         self._record_refusal(refusal, Subject(caller.request_id, customer_name))
 
+    def give_back_all(self, request: AdmittedRequest) -> None:
+        """Give back the whole charge of a request that is not run."""
+        if request.customer_name:
+            self.limiter.refund(request.customer_name, request.charged_tokens)
+
     def _give_back(self, request, outcome):
         if not request.customer_name:
             return
