--- a/src/cassiaford/cli/_serve.py
+++ b/src/cassiaford/cli/_serve.py
@@ -3,6 +3,7 @@
 import signal
 import threading
 from pathlib import Path
+from typing import Annotated
 
 import typer
 
@@ -17,7 +18,7 @@
 
 @app.command()
 def serve(
-    settings: Path = typer.Option(..., "--settings", "-s", help="The TOML file."),
+    settings: Annotated[Path, typer.Option("--settings", "-s", help="The TOML file.")],
 ) -> None:
     """Run an entry instance until SIGTERM or SIGINT.
 
