--- /dev/null
+++ b/src/cassiaford/cli/_http.py
@@ -0,0 +1,74 @@
+"""Asking entry instances over HTTP."""
+
+import json
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+import urllib3
+
+from cassiaford.cli._output import CommandError, NoAnswerError
+
+TIMEOUT_S = 3.0
+MAX_ASKED_AT_ONCE = 16
+
+
+@dataclass(frozen=True)
+class InstanceAnswer:
+    """What an instance answered, or why it did not."""
+
+    instance: str
+    address: str
+    status: dict = field(default_factory=dict)
+    error: str = ""
+
+
+def ask(address: str, path: str, token: str = "", fields: dict | None = None) -> dict:
+    """Return the JSON document that an instance has at a path.
+
+    Raises `NoAnswerError` if there is no answer and `CommandError` if the
+    instance refuses.
+    """
+    if not address:
+        raise CommandError("name an instance by --instance or CASSIAFORD_INSTANCE")
+    headers = {"Authorization": f"Bearer {token}"} if token else {}
+    url = f"http://{address}{path}"
+    try:
+        answer = urllib3.request(
+            "GET", url, headers=headers, fields=fields, timeout=TIMEOUT_S, retries=False
+        )
+        document = json.loads(answer.data)
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        raise NoAnswerError(f"instance at {address}: {error}") from None
+    if not isinstance(document, dict):
+        raise NoAnswerError(f"instance at {address}: not a cassiaford answer")
+    if answer.status != 200:
+        message = document.get("error", {}).get("message", "")
+        raise CommandError(f"instance at {address}: {answer.status} {message}")
+    return document
+
+
+def ask_fleet(address: str, token: str) -> list[InstanceAnswer]:
+    """Return the status of an instance and of every member it knows."""
+    first = ask(address, "/cassiaford/v1/status", token)
+    others = [
+        member
+        for member in first.get("members", [])
+        if member["instance"] != first["instance"]
+    ]
+    answers = [InstanceAnswer(first["instance"], address, first)]
+    return answers + list(_ask_all(others, token))
+
+
+def _ask_all(members, token) -> Iterable[InstanceAnswer]:
+    with ThreadPoolExecutor(MAX_ASKED_AT_ONCE) as pool:
+        yield from pool.map(lambda member: _ask_member(member, token), members)
+
+
+def _ask_member(member, token):
+    name, address = member["instance"], member["http_address"]
+    try:
+        status = ask(address, "/cassiaford/v1/status", token)
+    except (NoAnswerError, CommandError) as error:
+        return InstanceAnswer(name, address, error=str(error))
+    return InstanceAnswer(name, address, status)
--- /dev/null
+++ b/src/cassiaford/cli/_server.py
@@ -0,0 +1,138 @@
+"""The commands about backend servers."""
+
+from dataclasses import replace
+from typing import Annotated
+
+import typer
+from pydantic import TypeAdapter
+
+from cassiaford.cli._app import app
+from cassiaford.cli._options import (
+    AuthorOption,
+    JsonOption,
+    KeyValueOption,
+    SettingsOption,
+    open_log,
+    write,
+)
+from cassiaford.cli._output import (
+    EXIT_CODES_HELP,
+    CommandError,
+    print_json,
+    print_revision,
+    print_table,
+    reporting_errors,
+)
+from cassiaford.config import (
+    BackendServer,
+    PutServer,
+    RemoveServer,
+    ServerKind,
+    ServerState,
+)
+
+servers = typer.Typer(
+    help="Join and take out backend servers.",
+    epilog=EXIT_CODES_HELP,
+    no_args_is_help=True,
+)
+app.add_typer(servers, name="server")
+
+_SERVER = TypeAdapter(BackendServer)
+
+
+@servers.command(epilog=EXIT_CODES_HELP)
+def join(
+    name: str,
+    address: Annotated[str, typer.Option(help="Its address, such as 10.0.0.7:8000.")],
+    data_centre: Annotated[str, typer.Option(help="The data centre it stands in.")],
+    kind: Annotated[ServerKind, typer.Option(help="What it is.")] = ServerKind.ENGINE,
+    model: Annotated[
+        list[str], typer.Option("--model", help="A model it serves; may be repeated.")
+    ] = [],  # noqa: B006
+    group: Annotated[str, typer.Option(help="The group of a plain service.")] = "",
+    checks_fencing: Annotated[
+        bool, typer.Option("--checks-fencing", help="It refuses old orders.")
+    ] = False,
+    slots: Annotated[int, typer.Option(min=1, help="Requests at once.")] = 32,
+    key_value: KeyValueOption = "",
+    settings: SettingsOption = None,
+    author: AuthorOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Join a backend server, or bring back one that is leaving."""
+    with reporting_errors():
+        server = BackendServer(
+            name=name,
+            address=address,
+            data_centre=data_centre,
+            kind=kind,
+            models=tuple(model),
+            group=group or None,
+            checks_fencing=checks_fencing,
+            slots=slots,
+        )
+        log = open_log(key_value, settings)
+        base = log.load()
+        _check(base, server)
+        print_revision(write(log, base, [PutServer(server)], author), as_json)
+
+
+@servers.command(epilog=EXIT_CODES_HELP)
+def leave(
+    name: str,
+    forget: Annotated[
+        bool, typer.Option("--forget", help="Remove it from the configuration.")
+    ] = False,
+    key_value: KeyValueOption = "",
+    settings: SettingsOption = None,
+    author: AuthorOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Give a backend server no new work; what runs on it ends by itself."""
+    with reporting_errors():
+        log = open_log(key_value, settings)
+        base = log.load()
+        if name not in base.servers:
+            raise CommandError(f"no backend server named {name!r}")
+        leaving = replace(base.servers[name], state=ServerState.LEAVING)
+        change = RemoveServer(name) if forget else PutServer(leaving)
+        print_revision(write(log, base, [change], author), as_json)
+
+
+@servers.command("list", epilog=EXIT_CODES_HELP)
+def list_servers(
+    key_value: KeyValueOption = "",
+    settings: SettingsOption = None,
+    as_json: JsonOption = False,
+) -> None:
+    """List all backend servers."""
+    with reporting_errors():
+        configuration = open_log(key_value, settings).load()
+        found = sorted(configuration.servers.values(), key=lambda s: s.name)
+        if as_json:
+            print_json([_SERVER.dump_python(server, mode="json") for server in found])
+            return
+        rows = [
+            (
+                server.name,
+                server.address,
+                server.data_centre,
+                server.kind.value,
+                " ".join(server.models) or server.group or "",
+                server.state.value,
+            )
+            for server in found
+        ]
+        header = ("SERVER", "ADDRESS", "DATA CENTRE", "KIND", "SERVES", "STATE")
+        print_table(header, rows)
+
+
+def _check(base, server):
+    if server.kind is ServerKind.SERVICE and server.group is None:
+        raise CommandError("a plain service needs --group")
+    if server.kind is ServerKind.ENGINE and not server.models:
+        raise CommandError("an engine needs --model")
+    for model in server.models:
+        if model not in base.models:
+            raise CommandError(f"no model named {model!r}")
--- a/src/cassiaford/config/__init__.py
+++ b/src/cassiaford/config/__init__.py
@@ -16,6 +16,7 @@
     Revision,
     apply_changes,
 )
+from cassiaford.config._describe import describe_change
 from cassiaford.config._document import (
     EMPTY_CONFIGURATION,
     BackendServer,
@@ -34,6 +35,13 @@
     issue_key,
     key_id_of,
 )
+from cassiaford.config._sheet import (
+    DaySheet,
+    SheetError,
+    load_sheet,
+    parse_sheet,
+    plan_sheet,
+)
 
 __all__ = [
     "EMPTY_CONFIGURATION",
@@ -42,6 +50,7 @@
     "ChangeError",
     "Configuration",
     "Customer",
+    "DaySheet",
     "IssuedKey",
     "Key",
     "Model",
@@ -60,8 +69,13 @@
     "RouteKind",
     "ServerKind",
     "ServerState",
+    "SheetError",
     "apply_changes",
+    "describe_change",
     "find_customer",
     "issue_key",
     "key_id_of",
+    "load_sheet",
+    "parse_sheet",
+    "plan_sheet",
 ]
--- /dev/null
+++ b/src/cassiaford/documents/__init__.py
@@ -0,0 +1,5 @@
+"""TOML documents that are checked as a whole against a data class."""
+
+from cassiaford.documents._check import DocumentError, parse_document, read_text
+
+__all__ = ["DocumentError", "parse_document", "read_text"]
