--- a/src/cassiaford/cli/__init__.py
+++ b/src/cassiaford/cli/__init__.py
@@ -1,6 +1,13 @@
 """The command line."""
 
-from cassiaford.cli import _serve  # noqa: F401
+from cassiaford.cli import (  # noqa: F401
+    _customer,
+    _fleet,
+    _key,
+    _serve,
+    _server,
+    _sheet,
+)
 from cassiaford.cli._app import app, main
 
 __all__ = ["app", "main"]
