--- a/src/cassiaford/policy/_prefix_homes.py
+++ b/src/cassiaford/policy/_prefix_homes.py
@@ -142,16 +142,13 @@
 
 
 def _runs(blocks: Sequence[KnownBlock | None]) -> list[tuple[int, int]]:
+    # A server that holds a block holds those before it, as engines evict the
+    # end of a prompt first; so an event lost in between does no harm.
     runs = []
-    holders = -1
-    for length, known in enumerate(blocks):
-        remaining = holders & known.holders if known is not None else 0
-        if remaining != holders:
-            runs.append((length, holders & ~remaining))
-            holders = remaining
-        if not holders:
-            break
-    if holders:
-        runs.append((len(blocks), holders))
-    runs.reverse()
+    found = 0
+    for index in range(len(blocks) - 1, -1, -1):
+        known = blocks[index]
+        if known is not None and known.holders & ~found:
+            runs.append((index + 1, known.holders & ~found))
+            found |= known.holders
     return runs
--- a/src/cassiaford/policy/_prefix_placement.py
+++ b/src/cassiaford/policy/_prefix_placement.py
@@ -35,7 +35,7 @@
 SCORED_HOLDERS = 8
 SAMPLED_SERVERS = 4
 # Computing a token costs later requests too, so it weighs more than a wait.
-RECOMPUTE_WEIGHT = 1.5
+RECOMPUTE_WEIGHT = 3.0
 # How far a home is credited with blocks before its events have been heard.
 COLD_CREDIT = 0.8
 # After listening this long, a block not heard of is taken to be absent.
@@ -46,8 +46,10 @@
 RETIRED_S = 60.0
 # Random part of a score, so that instances do not all choose alike.
 JITTER_S = 0.005
-# Expected wait for a slot where the last report had none free.
-SLOT_WAIT_S = 1.0
+# Expected wait for each slot that a server lacks.
+SLOT_WAIT_S = 0.3
+# Slots that other instances are expected to take before a request arrives.
+SPARE_SLOTS = 3
 
 
 def create_placement(
@@ -235,7 +237,8 @@
 
     def _wait_s(self, load: ServerLoad, view: ServerView, now: float) -> float:
         wait_s = load.waiting_tokens(now) / load.tokens_per_s
-        return wait_s + SLOT_WAIT_S if load.lacks_slot(view.slots) else wait_s
+        lacking = load.occupied(view.in_flight) + SPARE_SLOTS - view.slots
+        return wait_s + max(0, lacking) * SLOT_WAIT_S
 
     def _candidates(
         self,
--- a/src/cassiaford/policy/_server_load.py
+++ b/src/cassiaford/policy/_server_load.py
@@ -9,8 +9,12 @@
 REPORT_LAG_S = 0.3
 # Requests with fewer tokens to compute say more of the network than the speed.
 MIN_TOKENS_FOR_SPEED = 2048
-# The share that one request has in the learned speed.
-SPEED_GAIN = 0.05
+# The learned speed moves by this part towards each speed seen, so that it
+# stays near their median and one wrong belief has little effect.
+SPEED_STEP = 0.03
+# Speeds are learned from requests that had at most this part of their tokens
+# waiting before them.
+MAX_AHEAD_PART = 0.1
 # A learned speed stays within this factor of the one assumed at first.
 MAX_SPEED_FACTOR = 8.0
 
@@ -49,6 +53,7 @@
         self.sent = {}
         self.own_tokens = 0
         self.unreported_tokens = 0
+        self.unreported = 0
 
     def waiting_tokens(self, now: float) -> float:
         """Return the prompt tokens that a new request would wait for."""
@@ -58,25 +63,28 @@
         reported = max(0.0, self.report.queued_tokens - drained)
         return max(self.own_tokens, reported + self.unreported_tokens)
 
-    def lacks_slot(self, slots: int) -> bool:
-        """Return whether the last report says that every slot is taken."""
-        report = self.report
-        return report is not None and report.running + report.waiting >= slots
+    def occupied(self, in_flight: int) -> int:
+        """Return the requests expected there, of which `in_flight` are ours."""
+        if self.report is None:
+            return in_flight
+        reported = self.report.running + self.report.waiting
+        return max(in_flight, reported + self.unreported)
 
     def take_report(self, report: LoadReport, now: float) -> None:
         """Take in a load report of the present incarnation."""
         self.report = report
         self.reported_at = now
         horizon = now - REPORT_LAG_S
-        self.unreported_tokens = sum(
-            sent.tokens for sent in self.sent.values() if sent.sent_at > horizon
-        )
+        newer = [sent for sent in self.sent.values() if sent.sent_at > horizon]
+        self.unreported = len(newer)
+        self.unreported_tokens = sum(sent.tokens for sent in newer)
 
     def add(self, sent: SentRequest) -> None:
         """Take note of a request sent."""
         self.sent[sent.request.request_id] = sent
         self.own_tokens += sent.tokens
         self.unreported_tokens += sent.tokens
+        self.unreported += 1
 
     def remove(self, request_id: str) -> SentRequest | None:
         """Take a request away that got its first token or ended before it."""
@@ -91,8 +99,11 @@
         elapsed = now - sent.sent_at
         if sent.tokens < MIN_TOKENS_FOR_SPEED or elapsed <= 0:
             return
+        if sent.ahead > MAX_AHEAD_PART * sent.tokens:
+            return
         seen = (sent.tokens + sent.ahead) / elapsed
-        speed = self.tokens_per_s + SPEED_GAIN * (seen - self.tokens_per_s)
+        step = SPEED_STEP if seen > self.tokens_per_s else -SPEED_STEP
+        speed = self.tokens_per_s * (1.0 + step)
         lowest = self.assumed_tokens_per_s / MAX_SPEED_FACTOR
         highest = self.assumed_tokens_per_s * MAX_SPEED_FACTOR
         self.tokens_per_s = min(highest, max(lowest, speed))
