--- a/src/cassiaford/engines/_prompt.py
+++ b/src/cassiaford/engines/_prompt.py
@@ -15,7 +15,8 @@
 
 def cache_scope(customer: str, model: str, version: str) -> int:
     """Return the hash from which the block chains of a scope start."""
-    return xxhash.xxh3_64_intdigest("\0".join((customer, model, version)))
+    text = "\0".join((customer, model, version))
+    return xxhash.xxh3_64_intdigest(text.encode("utf-8"))
 
 
 def prompt_text(body: Mapping[str, object]) -> bytes:
--- a/src/cassiaford/policy/_prefix_homes.py
+++ b/src/cassiaford/policy/_prefix_homes.py
@@ -61,7 +61,7 @@
     def __init__(self, table: BlockTable):
         self.table = table
 
-    def homes(
+    def find(
         self, prompt: PromptBlocks, views: Mapping[str, ServerView], now: float
     ) -> Homes:
         """Return the homes of a prompt, best first.
--- a/src/cassiaford/policy/_prefix_placement.py
+++ b/src/cassiaford/policy/_prefix_placement.py
@@ -35,7 +35,7 @@
 SCORED_HOLDERS = 8
 SAMPLED_SERVERS = 4
 # Computing a token costs later requests too, so it weighs more than a wait.
-RECOMPUTE_WEIGHT = 3.0
+RECOMPUTE_WEIGHT = 4.0
 # How far a home is credited with blocks before its events have been heard.
 COLD_CREDIT = 0.8
 # After listening this long, a block not heard of is taken to be absent.
@@ -102,7 +102,7 @@
         """Return the usable backend server with the lowest expected cost."""
         views = {view.name: view for view in servers}
         prompt = PromptBlocks(request.chain, self.table)
-        homes = self.home_finder.homes(prompt, views, now)
+        homes = self.home_finder.find(prompt, views, now)
         usable_homes = _usable_homes(homes, views, request)
         best, best_cost = None, 0.0
         for view in self._candidates(prompt, homes, views, request, rng):
@@ -158,16 +158,20 @@
 
     def observe_load(self, server: str, report: LoadReport, now: float) -> None:
         """Take in a load report, unless an earlier incarnation sent it."""
-        if self._is_current(server, report.incarnation, now):
+        if self._enters(server, report.incarnation, now):
             self.loads[server].take_report(report, now)
 
     def observe_events(self, server: str, events: CacheEvents, now: float) -> None:
-        """Take in cache events, unless an earlier incarnation sent them.
+        """Take in cache events of the incarnation that the last report named.
 
-        A gap needs no action: a wrong belief costs one recomputation, after
-        which it is right.
+        Reports of a server come in order and events may not, so events alone
+        never change a known incarnation. A gap needs no action: a wrong belief
+        costs one recomputation, after which it is right.
         """
-        if not self._is_current(server, events.incarnation, now):
+        known = self._load(server).incarnation
+        if known is None and not self._enters(server, events.incarnation, now):
+            return
+        if known not in (None, events.incarnation):
             return
         load = self.loads[server]
         if load.listening_since is None:
@@ -190,6 +194,19 @@
         for request_id in load.sent:
             self._server_of.pop(request_id, None)
 
+    @property
+    def unfinished(self) -> int:
+        """The number of requests sent that have no first token yet."""
+        return len(self._server_of)
+
+    def homes(
+        self, request: PlacementRequest, servers: Sequence[ServerView], now: float
+    ) -> Homes:
+        """Return the homes of a request's prompt, whatever their state."""
+        views = {view.name: view for view in servers}
+        prompt = PromptBlocks(request.chain, self.table)
+        return self.home_finder.find(prompt, views, now)
+
     def _load(self, server: str) -> ServerLoad:
         load = self.loads.get(server)
         if load is None:
@@ -203,7 +220,7 @@
         taken = sum(self._names)
         return ~taken & (taken + 1)
 
-    def _is_current(self, server: str, incarnation: str, now: float) -> bool:
+    def _enters(self, server: str, incarnation: str, now: float) -> bool:
         # Nothing orders two incarnations, so one that ended is remembered for
         # longer than its messages may be late.
         self._latest = now
--- a/src/cassiaford/policy/_server_load.py
+++ b/src/cassiaford/policy/_server_load.py
@@ -59,7 +59,7 @@
         """Return the prompt tokens that a new request would wait for."""
         if self.report is None:
             return self.own_tokens
-        drained = (now - self.reported_at) * self.tokens_per_s
+        drained = max(0.0, now - self.reported_at) * self.tokens_per_s
         reported = max(0.0, self.report.queued_tokens - drained)
         return max(self.own_tokens, reported + self.unreported_tokens)
 
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,261 @@
+"""Tests of placement: homes, beliefs and their end, bounds."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cassiaford.engines import (
+    CacheEvent,
+    CacheEventKind,
+    CacheEvents,
+    LoadReport,
+    block_chain,
+    cache_scope,
+)
+from cassiaford.policy import PlacementRequest, ServerView, create_placement
+
+NAMES = tuple(f"engine-{number}" for number in range(10))
+TEXT = b"binder " * 4096
+CHAIN = block_chain(cache_scope("ramen", "chef", "v1"), TEXT)
+
+
+def views(names=NAMES, **changes):
+    return [ServerView(name, slots=8, **changes) for name in names]
+
+
+def request(number=0, chain=CHAIN, excluded=()):
+    tokens = 1024 * len(chain) + 100
+    return PlacementRequest(f"r{number}", tokens, 16, chain, frozenset(excluded))
+
+
+def stored(*blocks, incarnation="a#1", kind=CacheEventKind.STORED):
+    events = tuple(CacheEvent(n, kind, block) for n, block in enumerate(blocks))
+    return CacheEvents(incarnation, events, len(events), gap=False)
+
+
+def load(incarnation="a#1", queued_tokens=0):
+    return LoadReport(incarnation, 0, 0, queued_tokens, ())
+
+
+class PlacementTest(unittest.TestCase):
+    def setUp(self):
+        self.policy = create_placement()
+        self.rng = random.Random(7)
+
+    def place(self, request, servers=None, now=1.0):
+        return self.policy.place(request, servers or views(), now, self.rng)
+
+    def serve(self, request, now=1.0, servers=None):
+        placement = self.place(request, servers, now)
+        self.policy.started(placement, request, now)
+        self.policy.first_token(request.request_id, now + 0.1)
+        self.policy.finished(request.request_id, now + 0.2)
+        return placement
+
+    def other_than_home(self):
+        home = self.place(request()).server
+        return next(name for name in NAMES if name != home)
+
+    def test_fresh_instances_agree_without_talking(self):
+        for count in (10, 100):
+            names = [f"engine-{number}" for number in range(count)]
+            chosen = {
+                create_placement()
+                .place(request(), views(names), 5.0, random.Random(seed))
+                .server
+                for seed in range(20)
+            }
+            self.assertEqual(len(chosen), 1)
+
+    def test_server_that_leaves_moves_only_its_own_prefixes(self):
+        chains = [(number * 7919 + 1,) for number in range(50)]
+        before = {chain: self.place(request(chain=chain)).server for chain in chains}
+        rest = views(NAMES[1:])
+        for chain in chains:
+            after = self.place(request(chain=chain), rest).server
+            if before[chain] != NAMES[0]:
+                self.assertEqual(after, before[chain])
+
+    def test_unusable_servers_are_never_chosen(self):
+        servers = [
+            ServerView("excluded", slots=8),
+            ServerView("suspected", slots=8, suspected=True),
+            ServerView("full", slots=8, in_flight=8),
+        ]
+        self.assertIsNone(self.place(request(excluded=["excluded"]), servers))
+        servers.append(ServerView("free", slots=8, in_flight=7))
+        chosen = self.place(request(excluded=["excluded"]), servers)
+        self.assertEqual(chosen.server, "free")
+        many = views([f"engine-{number}" for number in range(50)], in_flight=8)
+        self.assertIsNone(self.place(request(), many))
+        self.assertEqual(self.place(request(), [*many, *servers[3:]]).server, "free")
+
+    def test_no_servers_and_no_chain(self):
+        self.assertIsNone(self.policy.place(request(), [], 1.0, self.rng))
+        for count in (1, 3, 40):
+            names = [f"engine-{number}" for number in range(count)]
+            self.assertIsNotNone(self.place(request(chain=()), views(names)))
+
+    def test_cache_events_draw_requests_away_from_the_home(self):
+        holder = self.other_than_home()
+        self.policy.observe_events(holder, stored(*CHAIN), 1.0)
+        placement = self.place(request())
+        self.assertEqual(placement.server, holder)
+        self.assertEqual(placement.cached_tokens, 1024 * len(CHAIN))
+        evicted = stored(*CHAIN, kind=CacheEventKind.EVICTED)
+        self.policy.observe_events(holder, evicted, 2.0)
+        self.assertNotEqual(self.place(request()).server, holder)
+
+    def test_lost_event_does_not_hide_the_rest_of_the_prefix(self):
+        holder = self.other_than_home()
+        self.policy.observe_events(holder, stored(CHAIN[0], CHAIN[-1]), 1.0)
+        self.assertEqual(self.place(request()).server, holder)
+
+    def test_new_incarnation_ends_every_belief(self):
+        holder = self.other_than_home()
+        self.policy.observe_events(holder, stored(*CHAIN), 1.0)
+        self.policy.observe_load(holder, load("a#2"), 2.0)
+        self.assertNotEqual(self.place(request()).server, holder)
+
+    def test_late_events_of_a_dead_incarnation_are_not_believed(self):
+        holder = self.other_than_home()
+        self.policy.observe_events(holder, stored(CHAIN[0]), 1.0)
+        self.policy.observe_load(holder, load("a#2"), 2.0)
+        self.policy.observe_events(holder, stored(*CHAIN), 2.5)
+        self.policy.observe_load(holder, load("a#1"), 2.6)
+        self.assertNotEqual(self.place(request()).server, holder)
+        self.policy.observe_events(holder, stored(*CHAIN, incarnation="a#2"), 2.7)
+        self.assertEqual(self.place(request()).server, holder)
+
+    def test_forgotten_server_is_believed_to_hold_nothing(self):
+        holder = self.other_than_home()
+        self.policy.observe_events(holder, stored(*CHAIN), 1.0)
+        self.policy.forget(holder)
+        self.policy.observe_events(holder, stored(*CHAIN), 1.5)
+        self.assertNotEqual(self.place(request()).server, holder)
+
+    def test_bit_of_a_forgotten_server_passes_on_no_belief(self):
+        self.policy.observe_events("gone", stored(*CHAIN), 1.0)
+        self.policy.forget("gone")
+        self.policy.observe_load("new", load("new#1"), 2.0)
+        placement = self.place(request(), views(["new"]))
+        self.assertEqual(placement.cached_tokens, 0)
+
+    def test_belief_never_crosses_customer_or_version(self):
+        self.serve(request())
+        for scope in (("other", "chef", "v1"), ("ramen", "chef", "v2")):
+            chain = block_chain(cache_scope(*scope), TEXT)
+            self.assertEqual(self.place(request(1, chain)).cached_tokens, 0)
+
+    def test_request_that_failed_before_its_first_token_leaves_no_belief(self):
+        placement = self.place(request())
+        self.policy.started(placement, request(), 1.0)
+        self.policy.finished("r0", 1.1)
+        self.assertEqual(self.place(request(1)).cached_tokens, 0)
+        self.assertEqual(self.policy.loads[placement.server].own_tokens, 0)
+
+    def test_own_requests_count_before_any_report(self):
+        chains = [(number + 1,) * 20 for number in range(200)]
+        chosen = []
+        for number, chain in enumerate(chains):
+            placement = self.place(request(number, chain))
+            self.policy.started(placement, request(number, chain), 1.0)
+            chosen.append(placement.server)
+        fewest = min(chosen.count(name) for name in NAMES)
+        self.assertGreater(fewest, 10)
+
+    def test_hot_prefix_gets_more_homes(self):
+        homes = set()
+        for number in range(200):
+            now = 1.0 + number * 0.01
+            homes.add(self.serve(request(number), now).server)
+        prompt_homes = self.policy.homes(request(), views(), 3.0)
+        self.assertEqual(prompt_homes.needed, len(NAMES))
+        for number in range(400):
+            cold = request(1000 + number, (number * 31 + 5,))
+            self.serve(cold, 3.0 + number * 0.01)
+        self.assertLess(self.policy.homes(request(), views(), 7.0).needed, 8)
+
+    def test_speed_is_learned(self):
+        name = NAMES[0]
+        for number in range(100):
+            chain = (number + 1,) * 10
+            placement = self.place(request(number, chain), views([name]))
+            self.policy.started(placement, request(number, chain), float(number))
+            self.policy.first_token(f"r{number}", number + 10_340 / 40_000)
+            self.policy.finished(f"r{number}", number + 0.5)
+        speed = self.policy.loads[name].tokens_per_s
+        self.assertAlmostEqual(speed, 40_000, delta=2_500)
+
+    def test_memory_stays_bounded_and_nothing_leaks(self):
+        self.policy = create_placement(known_blocks=100)
+        for number in range(500):
+            chain = tuple(range(number * 10 + 1, number * 10 + 11))
+            self.serve(request(number, chain), float(number))
+            name = NAMES[number % 10]
+            events = stored(*range(10**6 + number, 10**6 + number + 20))
+            self.policy.observe_events(name, events, number + 0.5)
+            if number % 50 == 0:
+                self.policy.forget(name)
+        self.assertLessEqual(len(self.policy.table), 100)
+        self.assertFalse(any(load.sent for load in self.policy.loads.values()))
+        self.assertEqual(self.policy.unfinished, 0)
+
+    def test_weights_survive_a_long_life(self):
+        for day in range(40):
+            self.serve(request(day), day * 86_400.0)
+        self.assertLess(self.policy.table.total_weight, float("inf"))
+        self.assertGreaterEqual(self.policy.homes(request(), views(), 4e6).needed, 1)
+
+    @settings(max_examples=50, deadline=None, derandomize=True)
+    @given(st.data())
+    def test_any_order_of_messages_leaves_only_true_beliefs(self, data):
+        policy = create_placement(known_blocks=64)
+        truth = {}
+        reported = set()
+        kinds = st.sampled_from(["restart", "event", "load", "forget", "serve"])
+        for step in range(data.draw(st.integers(1, 40))):
+            name = data.draw(st.sampled_from(NAMES[:3]))
+            number, held = truth.setdefault(name, (1, set()))
+            incarnation, now = f"{name}#{number}", step * 0.1
+            kind = data.draw(kinds)
+            if kind == "restart":
+                truth[name] = (number + 1, set())
+                policy.observe_load(name, load(f"{name}#{number + 1}"), now)
+                reported.add(name)
+            elif kind == "event" and name in reported:
+                old = f"{name}#{data.draw(st.integers(1, number))}"
+                block = data.draw(st.sampled_from(CHAIN))
+                policy.observe_events(name, stored(block, incarnation=old), now)
+                if old == incarnation:
+                    held.add(block)
+            elif kind == "load":
+                policy.observe_load(name, load(incarnation), now)
+                reported.add(name)
+            elif kind == "forget":
+                policy.forget(name)
+                reported.discard(name)
+                truth[name] = (number + 1, set())
+            elif kind == "serve":
+                chosen = policy.place(request(step), views(NAMES[:3]), now, self.rng)
+                policy.started(chosen, request(step), now)
+                policy.first_token(f"r{step}", now)
+                policy.finished(f"r{step}", now)
+                truth.setdefault(chosen.server, (1, set()))[1].update(CHAIN)
+        for name, (_, held) in truth.items():
+            self.assertLessEqual(believed(policy, name), held)
+
+
+def believed(policy, name):
+    bit = policy.loads[name].bit if name in policy.loads else 0
+    return {
+        block
+        for block in CHAIN
+        if (known := policy.table.find(block)) and known.holders & bit
+    }
+
+
+if __name__ == "__main__":
+    unittest.main()
