--- a/src/cassiaford/cli/__init__.py
+++ b/src/cassiaford/cli/__init__.py
@@ -7,6 +7,7 @@
     _serve,
     _server,
     _sheet,
+    _timeline,
 )
 from cassiaford.cli._app import app, main
 
--- a/src/cassiaford/cli/_fleet.py
+++ b/src/cassiaford/cli/_fleet.py
@@ -27,7 +27,7 @@
     with reporting_errors():
         answers = ask_fleet(instance, token)
         if as_json:
-            print_json([answer.status or _failure(answer) for answer in answers])
+            print_json([answer.document or _failure(answer) for answer in answers])
         else:
             rows = [_row(answer) for answer in answers]
             print_table(("INSTANCE", "ADDRESS", "REVISION", "STATE", "IN FLIGHT"), rows)
@@ -54,7 +54,7 @@
 
 
 def _row(answer):
-    status = answer.status
+    status = answer.document
     if not status:
         return (answer.instance, answer.address, "-", answer.error, "-")
     return (
--- a/src/cassiaford/cli/_http.py
+++ b/src/cassiaford/cli/_http.py
@@ -1,7 +1,6 @@
 """Asking entry instances over HTTP."""
 
 import json
-from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
@@ -11,6 +10,7 @@
 
 TIMEOUT_S = 3.0
 MAX_ASKED_AT_ONCE = 16
+STATUS_PATH = "/cassiaford/v1/status"
 
 
 @dataclass(frozen=True)
@@ -19,7 +19,7 @@
 
     instance: str
     address: str
-    status: dict = field(default_factory=dict)
+    document: dict = field(default_factory=dict)
     error: str = ""
 
 
@@ -50,25 +50,24 @@
 
 def ask_fleet(address: str, token: str) -> list[InstanceAnswer]:
     """Return the status of an instance and of every member it knows."""
-    first = ask(address, "/cassiaford/v1/status", token)
-    others = [
-        member
-        for member in first.get("members", [])
-        if member["instance"] != first["instance"]
-    ]
-    answers = [InstanceAnswer(first["instance"], address, first)]
-    return answers + list(_ask_all(others, token))
+    return ask_members(address, token, STATUS_PATH, {})
 
 
-def _ask_all(members, token) -> Iterable[InstanceAnswer]:
+def ask_members(
+    address: str, token: str, path: str, fields: dict
+) -> list[InstanceAnswer]:
+    """Return what every member that an instance knows has at a path."""
+    members = ask(address, STATUS_PATH, token).get("members", [])
     with ThreadPoolExecutor(MAX_ASKED_AT_ONCE) as pool:
-        yield from pool.map(lambda member: _ask_member(member, token), members)
+        return list(
+            pool.map(lambda member: _ask_member(member, path, token, fields), members)
+        )
 
 
-def _ask_member(member, token):
+def _ask_member(member, path, token, fields):
     name, address = member["instance"], member["http_address"]
     try:
-        status = ask(address, "/cassiaford/v1/status", token)
+        document = ask(address, path, token, fields)
     except (NoAnswerError, CommandError) as error:
         return InstanceAnswer(name, address, error=str(error))
-    return InstanceAnswer(name, address, status)
+    return InstanceAnswer(name, address, document)
--- a/src/cassiaford/cli/_sheet.py
+++ b/src/cassiaford/cli/_sheet.py
@@ -162,7 +162,7 @@
 def _status_row(answer, newest):
     if answer.error:
         return (answer.instance, "-", answer.error)
-    revision = answer.status["revision"]
+    revision = answer.document["revision"]
     return (answer.instance, revision, "yes" if revision >= newest else "no")
 
 
--- /dev/null
+++ b/src/cassiaford/cli/_timeline.py
@@ -0,0 +1,85 @@
+"""The command that gathers the time line from all live instances."""
+
+import datetime
+from typing import Annotated
+
+import typer
+
+from cassiaford.cli._app import app
+from cassiaford.cli._http import ask_members
+from cassiaford.cli._options import InstanceOption, JsonOption, TokenOption
+from cassiaford.cli._output import (
+    EXIT_CODES_HELP,
+    CommandError,
+    ExitCode,
+    print_json,
+    reporting_errors,
+)
+from cassiaford.timeline import (
+    html_page,
+    merge,
+    parse_record,
+    record_document,
+    text_line,
+)
+
+TIMELINE_PATH = "/cassiaford/v1/timeline"
+
+
+@app.command(epilog=EXIT_CODES_HELP)
+def timeline(
+    instance: InstanceOption = "",
+    token: TokenOption = "",
+    request: Annotated[str, typer.Option(help="Only this request.")] = "",
+    customer: Annotated[str, typer.Option(help="Only this customer.")] = "",
+    since: Annotated[
+        str, typer.Option(help="Only from this time on, such as 2026-12-03T08:00:00Z.")
+    ] = "",
+    as_json: JsonOption = False,
+    as_html: Annotated[bool, typer.Option("--html", help="Print a page.")] = False,
+) -> None:
+    """Show the events of all live instances in one order.
+
+    No effect stands before its cause. An instance that does not answer is
+    named on standard error, and the exit code is then 4.
+    """
+    with reporting_errors():
+        fields = {"request": request, "customer": customer, "since": _seconds(since)}
+        answers = ask_members(instance, token, TIMELINE_PATH, fields)
+        records = merge(
+            parse_record(document)
+            for answer in answers
+            for document in answer.document.get("records", [])
+        )
+        _print(records, as_json, as_html)
+        _report_missing(answers)
+
+
+def _print(records, as_json, as_html):
+    if as_json:
+        print_json([record_document(record) for record in records])
+    elif as_html:
+        typer.echo(html_page(records))
+    else:
+        for record in records:
+            typer.echo(text_line(record))
+
+
+def _report_missing(answers):
+    missing = [answer for answer in answers if answer.error]
+    for answer in missing:
+        typer.echo(f"{answer.instance} at {answer.address}: {answer.error}", err=True)
+    if missing:
+        raise typer.Exit(ExitCode.UNAVAILABLE)
+
+
+def _seconds(since):
+    if not since:
+        return 0.0
+    try:
+        moment = datetime.datetime.fromisoformat(since)
+    except ValueError:
+        raise CommandError(f"{since!r} is not a time like 2026-12-03T08:00") from None
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=datetime.UTC)
+    return moment.timestamp()
--- a/src/cassiaford/instance/_local.py
+++ b/src/cassiaford/instance/_local.py
@@ -10,7 +10,7 @@
 from cassiaford.fleet import Member
 from cassiaford.metrics import Metrics
 from cassiaford.pipeline import AuthenticateFilter, CallerRequest, Header
-from cassiaford.timeline import Journal, Record
+from cassiaford.timeline import Journal, gathered, record_document
 from cassiaford.verdict import Refusal, RefusalReason, refuse
 
 JSON_TYPE = "application/json"
@@ -172,7 +172,7 @@
 
     def _timeline(self, query):
         records = [
-            record_fields(record)
+            record_document(gathered(record))
             for record in self.journal.snapshot()
             if _matches(record, query)
         ]
@@ -193,23 +193,6 @@
         return refuse(RefusalReason.UNKNOWN_MODEL, f"no model named {wanted[:100]!r}")
 
 
-def record_fields(record: Record) -> dict[str, object]:
-    """Return a record of the time line in its JSON form."""
-    return {
-        "wall_ms": record.timestamp.wall_ms,
-        "counter": record.timestamp.counter,
-        "instance": record.instance,
-        "incarnation": record.incarnation,
-        "revision": record.revision,
-        "number": record.event.number,
-        "text": record.event.text,
-        "request_id": record.subject.request_id,
-        "customer": record.subject.customer,
-        "server": record.subject.server,
-        "details": {detail.name: detail.value for detail in record.details},
-    }
-
-
 def _matches(record, query):
     return (
         record.timestamp.wall_ms >= query.since * 1000
@@ -236,7 +219,7 @@
         "instance": member.instance,
         "incarnation": member.incarnation,
         "data_centre": member.data_centre,
-        "address": member.http_address,
+        "http_address": member.http_address,
         "leaving": member.leaving,
         "revision": member.revision,
     }
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -32,12 +32,10 @@
     KEY_WITHDRAWN = (1102, Level.INFO, "key withdrawn")
     CONFIGURATION_STALE = (1103, Level.ERROR, "no word from service or peers")
     CONFIGURATION_FRESH = (1104, Level.INFO, "word from service or peers again")
-
     REVISION_REJECTED = (1105, Level.ERROR, "configuration entry not usable")
     SNAPSHOT_WRITTEN = (1106, Level.INFO, "configuration snapshot written")
 
     # 12xx: requests.
-    REQUEST_RECEIVED = (1201, Level.DEBUG, "request received")
     REQUEST_REFUSED = (1202, Level.INFO, "request refused")
     REQUEST_PLACED = (1203, Level.DEBUG, "request sent to backend server")
     REQUEST_COMPLETED = (1204, Level.INFO, "request completed")
@@ -51,8 +49,7 @@
     ENGINE_UNREACHABLE = (1311, Level.WARNING, "engine does not answer polls")
     ENGINE_REACHABLE = (1312, Level.INFO, "engine answers polls again")
     ENGINE_RESTARTED = (1313, Level.WARNING, "engine came back with an empty cache")
-    # 16xx: claims.
-    CLAIM_OUTCOME_LOST = (1601, Level.WARNING, "outcome of a claim not recorded")
+
     # 14xx: peers and membership.
     MEMBER_JOINED = (1401, Level.INFO, "instance is live")
     MEMBER_SUSPECTED = (1402, Level.INFO, "instance does not answer")
@@ -63,6 +60,9 @@
     INSTANCE_SUPERSEDED = (1407, Level.ERROR, "newer process has this name")
     INSTANCE_LIST_LOST = (1408, Level.WARNING, "list of instances does not answer")
 
+    # 16xx: claims.
+    CLAIM_OUTCOME_LOST = (1601, Level.WARNING, "outcome of a claim not recorded")
+
     # 18xx: the key-value service.
     KEY_VALUE_LOST = (1801, Level.WARNING, "key-value service does not answer")
     KEY_VALUE_BACK = (1802, Level.INFO, "key-value service answers again")
--- a/src/cassiaford/timeline/__init__.py
+++ b/src/cassiaford/timeline/__init__.py
@@ -1,6 +1,30 @@
 """The time line: events of one process, ordered across all processes."""
 
 from cassiaford.timeline._clock import HybridClock, Timestamp
+from cassiaford.timeline._document import (
+    BadRecordError,
+    GatheredRecord,
+    gathered,
+    merge,
+    parse_record,
+    record_document,
+)
 from cassiaford.timeline._journal import Detail, Journal, Record, Subject
+from cassiaford.timeline._render import html_page, text_line
 
-__all__ = ["Detail", "HybridClock", "Journal", "Record", "Subject", "Timestamp"]
+__all__ = [
+    "BadRecordError",
+    "Detail",
+    "GatheredRecord",
+    "HybridClock",
+    "Journal",
+    "Record",
+    "Subject",
+    "Timestamp",
+    "gathered",
+    "html_page",
+    "merge",
+    "parse_record",
+    "record_document",
+    "text_line",
+]
