--- a/standins/_demo_calls.py
+++ b/standins/_demo_calls.py
@@ -4,7 +4,7 @@
 import json
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import httpx2
 import openai
@@ -234,10 +234,10 @@
                     first_token_at = first_token_at or time.monotonic()
                     text.append(choice.delta.content)
                 finished = finished or choice.finish_reason is not None
-    except openai.APIError as error:
-        return _failed(address, error, first_token_at)
-    except httpx2.HTTPError:
-        return Attempt(address, cut=True, first_token_at=first_token_at)
+    except (openai.APIError, httpx2.HTTPError) as error:
+        refused = _failed(address, error, first_token_at)
+        # Only an error that came as an event ends a stream as it should.
+        return replace(refused, cut=not refused.verdict)
     if not finished:
         return Attempt(address, cut=True, first_token_at=first_token_at)
     return _completed(address, "".join(text), first_token_at, usage)
@@ -256,6 +256,8 @@
 
 
 def _failed(address, error, first_token_at=None):
+    if not isinstance(error, openai.APIError):
+        return Attempt(address, first_token_at=first_token_at)
     if isinstance(error, openai.APIConnectionError):
         refused = isinstance(error.__cause__, httpx2.ConnectError)
         return Attempt(address, not_sent=refused, first_token_at=first_token_at)
--- a/tests/test_demo_checks.py
+++ b/tests/test_demo_checks.py
@@ -1,5 +1,8 @@
 """Tests that the demo's checks fail when an invariant is broken."""
 
+import json
+import socket
+import threading
 import unittest
 from dataclasses import replace
 
@@ -9,6 +12,7 @@
     CallKind,
     CallOutcome,
     CallResult,
+    ModelCaller,
     perform,
 )
 from standins._demo_report import Evidence, format_table, run_checks
@@ -95,6 +99,45 @@
         self.assert_broken(replace(GOOD, results=rest), name)
 
 
+class CutStreamTest(unittest.TestCase):
+    HEAD = (
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+
+    def attempt_with(self, *events):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65536)
+                connection.sendall(self.HEAD)
+                for event in events:
+                    connection.sendall(b"%x\r\n%b\r\n" % (len(event), event))
+
+        threading.Thread(target=serve, daemon=True).start()
+        caller = ModelCaller(KEY)
+        self.addCleanup(caller.close)
+        body = {"model": "m", "messages": [{"role": "user", "content": "?"}]}
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        return caller.marking(body).attempt(address)
+
+    def test_stream_without_its_end_is_cut(self):
+        chunk = {"choices": [{"index": 0, "delta": {"content": "a"}}]}
+        event = f"data: {json.dumps(chunk)}\n\n".encode()
+        self.assertTrue(self.attempt_with(event).cut)
+        self.assertTrue(self.attempt_with(event, b"").cut)
+
+    def test_stream_that_ends_with_an_error_event_is_not_cut(self):
+        error = {"message": "x", "verdict": "may_have_run", "code": "c"}
+        event = f"data: {json.dumps({'error': error})}\n\n".encode()
+        attempt = self.attempt_with(event)
+        self.assertFalse(attempt.cut)
+        self.assertEqual(attempt.verdict, "may_have_run")
+
+
 class PerformTest(unittest.TestCase):
     def perform(self, kind, *attempts):
         script = iter(attempts)
