--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,251 @@
+"""Key-value calls for each claim, in virtual time.
+
+Seven instances claim for five customers of unequal size. A call to the
+key-value service takes two milliseconds each way, a message between instances
+one and a half. Three ways are compared: each instance writes for itself with
+callers spread evenly, the same with four of five callers steered to two
+instances of each customer, and claims forwarded to one instance for each
+shard. Run as ``python -m bench.claims --seed 1``.
+"""
+
+import argparse
+import heapq
+import json
+import pathlib
+import random
+from dataclasses import asdict, dataclass, field
+
+from cassiaford.fleet import shard_of
+from cassiaford.policy import (
+    GROUP_WINDOW_S,
+    OUTCOME_WINDOW_S,
+    Claim,
+    ClaimRecord,
+    ReadShard,
+    ShardBook,
+    conflict_delay,
+    ended_record,
+)
+from cassiaford.verdict import Verdict
+
+INSTANCES = 7
+CUSTOMER_WEIGHTS = (50, 20, 15, 10, 5)
+STEERED_SHARE = 0.8
+STEERED_INSTANCES = 2
+CALL_ONE_WAY_S = 0.002
+PEER_ONE_WAY_S = 0.0015
+RUN_S = 0.5
+RATES = (10, 100, 1000)
+SPAN_S = 20.0
+RESULTS = pathlib.Path("bench-results")
+
+
+@dataclass(frozen=True)
+class Result:
+    """The calls and the delay of claims at one rate, in one way."""
+
+    way: str
+    claims_per_s: int
+    writes_per_s: float
+    writes_per_claim: float
+    conflicts_per_claim: float
+    reads_per_claim: float
+    delay_p50_ms: float
+    delay_p99_ms: float
+
+
+@dataclass
+class Service:
+    """The key-value service: a version and the records of each shard."""
+
+    shards: dict = field(default_factory=dict)
+    reads: int = 0
+    writes: int = 0
+    conflicts: int = 0
+
+    def perform(self, shard, step):
+        """Perform a read or write; return swapped, records and version."""
+        records, version = self.shards.get(shard, ({}, 0))
+        if isinstance(step, ReadShard):
+            self.reads += 1
+            return False, records, version
+        self.writes += 1
+        if step.version != version:
+            self.conflicts += 1
+            return False, records, version
+        self.shards[shard] = (dict(step.records), version + 1)
+        return True, step.records, version + 1
+
+
+class Worker:
+    """What the thread of one shard in one instance does, in virtual time."""
+
+    def __init__(self, simulation, shard, name):
+        self.simulation = simulation
+        self.shard = shard
+        self.book = ShardBook(shard, name, 1)
+        self.busy = False
+        self.urgent = False
+        self.conflicts = 0
+
+    def wake(self):
+        """Begin the window in which claims and outcomes gather."""
+        urgent = bool(self.book.pending)
+        if self.busy or not (urgent or self.book.changes):
+            return
+        self.busy = True
+        delay = GROUP_WINDOW_S if urgent else OUTCOME_WINDOW_S
+        self.simulation.after(delay, self.begin)
+
+    def begin(self):
+        """Make the next call, if there is anything to do."""
+        step = self.book.next_step(self.simulation.now)
+        if step is None:
+            self.busy = False
+            return
+        self.simulation.after(CALL_ONE_WAY_S, lambda: self.perform(step))
+
+    def perform(self, step):
+        """Have the service perform a call."""
+        result = self.simulation.service.perform(self.shard, step)
+        self.simulation.after(CALL_ONE_WAY_S, lambda: self.answer(step, *result))
+
+    def answer(self, step, swapped, records, version):
+        """Take in the service's answer."""
+        now = self.simulation.now
+        if swapped:
+            settled = self.book.on_written(version)
+        else:
+            settled = self.book.on_read(records, version, now)
+        lost = not swapped and not isinstance(step, ReadShard)
+        self.conflicts = self.conflicts + 1 if lost else 0
+        self.simulation.settle(self, settled)
+        self.busy = False
+        if lost:
+            self.busy = True
+            delay = conflict_delay(self.conflicts, self.simulation.rng)
+            self.simulation.after(delay, self.begin)
+        else:
+            self.wake()
+
+
+class Simulation:
+    """One run at one rate, in one way."""
+
+    def __init__(self, way, rate, seed):
+        self.way = way
+        self.rate = rate
+        self.rng = random.Random(f"{seed}/{way}/{rate}")
+        self.now = 0.0
+        self.events = []
+        self.sequence = 0
+        self.service = Service()
+        self.workers = {}
+        self.arrived = {}
+        self.delays = []
+
+    def after(self, delay, action):
+        """Do something after a delay in seconds."""
+        self.sequence += 1
+        heapq.heappush(self.events, (self.now + delay, self.sequence, action))
+
+    def run(self):
+        """Run until nothing is left to do; return the result."""
+        self.after(self.rng.expovariate(self.rate), self.arrive)
+        while self.events:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+        return self.result()
+
+    def arrive(self):
+        """Let a claim arrive, and the next one after it."""
+        if self.now > SPAN_S:
+            return
+        self.after(self.rng.expovariate(self.rate), self.arrive)
+        weights = CUSTOMER_WEIGHTS
+        number = self.rng.choices(range(len(weights)), weights)[0]
+        customer = f"customer-{number}"
+        name = self.instance_for(number)
+        nonce = f"{self.rng.getrandbits(64):016x}"
+        record = ClaimRecord(nonce, "f", nonce, nonce, name, 1, self.now)
+        self.arrived[nonce] = self.now
+        worker = self.worker(shard_of(customer), name)
+        hop = PEER_ONE_WAY_S if self.way == "forwarded" else 0.0
+        self.after(hop, lambda: self.submit(worker, record))
+
+    def instance_for(self, number):
+        """Return the instance that writes for an arrival."""
+        steered = self.way == "steered" and self.rng.random() < STEERED_SHARE
+        if self.way == "forwarded":
+            return f"entry-{number % INSTANCES}"
+        if steered:
+            number += self.rng.randrange(STEERED_INSTANCES)
+            return f"entry-{number % INSTANCES}"
+        return f"entry-{self.rng.randrange(INSTANCES)}"
+
+    def worker(self, shard, name):
+        """Return the thread of a shard in an instance."""
+        key = (shard, name)
+        if key not in self.workers:
+            self.workers[key] = Worker(self, shard, name)
+        return self.workers[key]
+
+    def submit(self, worker, record):
+        """Hand a claim to a thread."""
+        worker.book.submit(record, self.now)
+        worker.wake()
+
+    def settle(self, worker, settled):
+        """Note how long claims took; end their work later."""
+        for item in settled:
+            if isinstance(item.answer, Claim):
+                hop = PEER_ONE_WAY_S if self.way == "forwarded" else 0.0
+                self.delays.append(self.now + hop - self.arrived.pop(item.nonce))
+                duration = self.rng.expovariate(1.0 / RUN_S)
+                self.after(duration, lambda c=item.answer: self.end(worker, c))
+
+    def end(self, worker, claim):
+        """End the work of a claim."""
+        record = ended_record(claim, Verdict.RAN, 201, "", b"", self.now)
+        worker.book.end(record)
+        worker.wake()
+
+    def result(self):
+        """Return the figures of the run."""
+        delays = sorted(self.delays)
+        claims = len(delays)
+        service = self.service
+        return Result(
+            way=self.way,
+            claims_per_s=self.rate,
+            writes_per_s=round(service.writes / SPAN_S, 1),
+            writes_per_claim=round(service.writes / claims, 3),
+            conflicts_per_claim=round(service.conflicts / claims, 3),
+            reads_per_claim=round(service.reads / claims, 3),
+            delay_p50_ms=round(delays[claims // 2] * 1000, 1),
+            delay_p99_ms=round(delays[claims * 99 // 100] * 1000, 1),
+        )
+
+
+def run(seed: int) -> list[Result]:
+    """Return the results of every way at every rate."""
+    ways = ("spread", "steered", "forwarded")
+    return [Simulation(way, rate, seed).run() for way in ways for rate in RATES]
+
+
+def main() -> None:
+    """Print the results as a table and write them as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    results = run(parser.parse_args().seed)
+    names = list(asdict(results[0]))
+    print(" | ".join(names))
+    for result in results:
+        print(" | ".join(str(value) for value in asdict(result).values()))
+    RESULTS.mkdir(exist_ok=True)
+    rows = [asdict(result) for result in results]
+    (RESULTS / "claims.json").write_text(json.dumps(rows, indent=1), "utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cassiaford/fleet/_rates_codec.py
@@ -0,0 +1,130 @@
+"""The form of share messages between peers, and of the ledger that is kept."""
+
+import math
+import pathlib
+
+import capnp
+
+from cassiaford.policy import (
+    Ask,
+    Grant,
+    Holder,
+    Ledger,
+    Poll,
+    Report,
+    Returned,
+    ShareMessage,
+)
+
+capnp.remove_import_hook()
+_schema = capnp.load(str(pathlib.Path(__file__).with_name("rates.capnp")))
+
+
+class ShareCodecError(ValueError):
+    """A message or ledger that cannot be understood."""
+
+
+def encode_message(message: ShareMessage) -> bytes:
+    """Return the body of a message to a peer."""
+    builder = _schema.ShareMessage.new_message()
+    match message:
+        case Ask():
+            _fill_ask(builder.init("ask"), message)
+        case Grant():
+            grant = builder.init("grant")
+            grant.customer = message.customer
+            grant.loan = message.loan
+            grant.tokens = message.tokens
+            grant.level = message.level
+        case Poll():
+            poll = builder.init("poll")
+            poll.number = message.number
+            poll.epoch = message.epoch
+        case Report():
+            report = builder.init("report")
+            report.number = message.number
+            report.epoch = message.epoch
+            report.sure = message.sure
+            if message.ledger is not None:
+                _fill_ledger(report.init("ledger"), message.ledger)
+    return builder.to_bytes_packed()
+
+
+def decode_message(body: bytes) -> ShareMessage:
+    """Return the message in a body; raises `ShareCodecError`."""
+    try:
+        reader = _schema.ShareMessage.from_bytes_packed(body)
+        return _message(reader)
+    except (capnp.KjException, ValueError) as error:
+        raise ShareCodecError(str(error)) from error
+
+
+def encode_ledger(ledger: Ledger) -> bytes:
+    """Return the value of the ledger in the key-value service."""
+    builder = _schema.Ledger.new_message()
+    _fill_ledger(builder, ledger)
+    return builder.to_bytes_packed()
+
+
+def decode_ledger(value: bytes | None) -> Ledger:
+    """Return the ledger in a value; raises `ShareCodecError`."""
+    if not value:
+        return Ledger()
+    try:
+        return _ledger(_schema.Ledger.from_bytes_packed(value))
+    except (capnp.KjException, ValueError) as error:
+        raise ShareCodecError(str(error)) from error
+
+
+def _fill_ask(builder, ask):
+    builder.customer = ask.customer
+    builder.loan = ask.loan
+    builder.tokens = ask.tokens
+    builder.refund = ask.refund
+    returned = builder.init("returned", len(ask.returned))
+    for item, value in zip(returned, ask.returned, strict=True):
+        item.loan = value.loan
+        item.unused = value.unused
+
+
+def _fill_ledger(builder, ledger):
+    builder.epoch = ledger.epoch
+    holders = builder.init("holders", len(ledger.holders))
+    for item, value in zip(holders, ledger.holders, strict=True):
+        item.instance = value.instance
+        item.incarnation = value.incarnation
+
+
+def _message(reader):
+    match reader.which():
+        case "ask":
+            return _ask(reader.ask)
+        case "grant":
+            grant = reader.grant
+            tokens, level = _amount(grant.tokens), _amount(grant.level)
+            return Grant(grant.customer, grant.loan, tokens, level)
+        case "poll":
+            return Poll(reader.poll.number, reader.poll.epoch)
+        case "report":
+            report = reader.report
+            ledger = _ledger(report.ledger) if report.ledger.epoch else None
+            return Report(report.number, report.epoch, report.sure, ledger)
+        case other:
+            raise ShareCodecError(f"unknown message {other}")
+
+
+def _ask(ask):
+    returned = tuple(Returned(item.loan, _amount(item.unused)) for item in ask.returned)
+    tokens, refund = _amount(ask.tokens), _amount(ask.refund)
+    return Ask(ask.customer, ask.loan, tokens, refund, returned)
+
+
+def _ledger(reader):
+    holders = tuple(Holder(h.instance, h.incarnation) for h in reader.holders)
+    return Ledger(reader.epoch, holders)
+
+
+def _amount(value):
+    if not math.isfinite(value) or value < 0:
+        raise ShareCodecError(f"not a number of tokens: {value}")
+    return value
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -42,6 +42,11 @@
     REQUEST_RETRIED = (1206, Level.INFO, "request sent again")
     CALLER_LEFT = (1207, Level.INFO, "caller closed the connection")
 
+    # 15xx: rates.
+    SHARES_SUSPENDED = (1501, Level.WARNING, "rate shares unused after a pause")
+    SHARES_RESUMED = (1502, Level.INFO, "rate shares in use again")
+    LEDGER_WRITTEN = (1503, Level.INFO, "ledger of rate shares written")
+
     # 16xx: claims.
     CLAIM_OUTCOME_LOST = (1601, Level.WARNING, "outcome of a claim not recorded")
 
--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -4,6 +4,9 @@
 `random.Random`; messages go in and actions come out as frozen data classes.
 """
 
+from cassiaford.policy._buckets import (
+    Bucket,
+)
 from cassiaford.policy._claim_shard import (
     GROUP_WINDOW_S,
     OUTCOME_WINDOW_S,
@@ -22,28 +25,61 @@
     ended_record,
     unavailable,
 )
+from cassiaford.policy._owners import (
+    Holder,
+    Ledger,
+    OwnerTable,
+)
 from cassiaford.policy._placement import (
     Placement,
     PlacementPolicy,
     PlacementRequest,
     ServerView,
 )
+from cassiaford.policy._share import (
+    Limit,
+)
+from cassiaford.policy._share_messages import (
+    Ask,
+    Grant,
+    Poll,
+    Report,
+    Returned,
+    Send,
+    ShareMessage,
+)
+from cassiaford.policy._shares import (
+    ShareBook,
+)
 
 __all__ = [
+    "Ask",
+    "Bucket",
     "Claim",
     "ClaimAnswer",
     "ClaimRecord",
     "ClaimState",
     "GROUP_WINDOW_S",
+    "Grant",
+    "Holder",
+    "Ledger",
+    "Limit",
     "OUTCOME_WINDOW_S",
+    "OwnerTable",
     "Placement",
     "PlacementPolicy",
     "PlacementRequest",
+    "Poll",
     "ReadShard",
     "RecordedOutcome",
+    "Report",
+    "Returned",
+    "Send",
     "ServerView",
     "Settled",
     "ShardBook",
+    "ShareBook",
+    "ShareMessage",
     "WriteShard",
     "conflict_delay",
     "ended_record",
--- /dev/null
+++ b/tests/test_rate_limiter.py
@@ -0,0 +1,149 @@
+"""Tests of the rate limiter over threads, peers and the key-value service."""
+
+import queue
+import threading
+import time
+import unittest
+
+from cassiaford.config import Configuration, Customer
+from cassiaford.fleet import (
+    Member,
+    PeerMessage,
+    PeerTransport,
+    create_rate_limiter,
+)
+from cassiaford.fleet._rates_codec import (
+    ShareCodecError,
+    decode_ledger,
+    decode_message,
+    encode_ledger,
+    encode_message,
+)
+from cassiaford.policy import Ask, Grant, Holder, Ledger, Poll, Report, Returned
+from cassiaford.timeline import HybridClock, Journal
+from cassiaford.verdict import RefusalReason, Verdict
+from tests.fakes_claims import FakeKeyValue
+
+SHOP = Customer("shop", rate=1000.0, burst=5000.0)
+CONFIGURATION = Configuration(customers={"shop": SHOP})
+
+
+class FakeTransport(PeerTransport):
+    """Delivers messages to the other transports of a dictionary, by threads."""
+
+    def __init__(self, name, fleet):
+        self.name = name
+        self.fleet = fleet
+        self.handlers = {}
+        self.inbox = queue.Queue()
+        fleet[name] = self
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def send(self, instance, channel, body):
+        if instance in self.fleet:
+            message = PeerMessage(self.name, 1, channel, body)
+            self.fleet[instance].inbox.put(message)
+
+    def subscribe(self, channel, handler):
+        self.handlers[channel] = handler
+
+    def members(self):
+        return tuple(Member(name, 1, "dc", "", "") for name in list(self.fleet))
+
+    def run(self):
+        while (message := self.inbox.get()) is not None:
+            if message.channel in self.handlers:
+                self.handlers[message.channel](message)
+
+
+class RateLimiterTest(unittest.TestCase):
+    def setUp(self):
+        self.key_value = FakeKeyValue()
+        self.fleet = {}
+        self.limiters = []
+
+    def tearDown(self):
+        for limiter in self.limiters:
+            limiter.stop()
+        for transport in self.fleet.values():
+            transport.inbox.put(None)
+            transport.thread.join(10.0)
+
+    def limiter(self, name):
+        journal = Journal(name, 1, HybridClock(time.time), write=lambda *line: None)
+        transport = FakeTransport(name, self.fleet)
+        limiter = create_rate_limiter(self.key_value, transport, journal, name, 1)
+        limiter.configure(CONFIGURATION)
+        limiter.start()
+        self.limiters.append(limiter)
+        return limiter
+
+    def wait_until(self, condition):
+        deadline = time.monotonic() + 30.0
+        while not condition():
+            self.assertLess(time.monotonic(), deadline)
+            time.sleep(0.01)
+
+    def test_a_request_over_the_burst_is_told_so(self):
+        refusal = self.limiter("entry-1").charge(SHOP, 5001)
+        self.assertIs(refusal.reason, RefusalReason.OVER_BURST)
+        self.assertIsNone(refusal.retry_after_s)
+
+    def test_the_whole_burst_is_there_at_first_and_then_the_rate(self):
+        limiter = self.limiter("entry-1")
+        self.assertIsNone(limiter.charge(SHOP, 5000))
+        refusal = limiter.charge(SHOP, 2500)
+        self.assertIs(refusal.reason, RefusalReason.RATE_LIMITED)
+        self.assertIs(refusal.verdict, Verdict.NOT_RUN)
+        self.assertLessEqual(refusal.retry_after_s, 2.5)
+        self.assertGreater(refusal.retry_after_s, 0.0)
+        limiter.refund("shop", 2500)
+        self.assertIsNone(limiter.charge(SHOP, 2500))
+
+    def test_an_instance_borrows_while_the_service_is_down(self):
+        first = self.limiter("entry-1")
+        self.key_value.down = True
+        second = self.limiter("entry-2")
+        self.wait_until(lambda: second.book.ledger.epoch == 1)
+        self.wait_until(lambda: second.charge(SHOP, 4000) is None)
+        self.assertIsNotNone(first.charge(SHOP, 4000))
+
+    def test_one_that_leaves_hands_its_shares_over(self):
+        first, second = self.limiter("entry-1"), self.limiter("entry-2")
+        first.leave()
+        self.wait_until(lambda: second.book.ledger.epoch == 3)
+        self.wait_until(lambda: second.book.settled)
+        self.assertEqual(second.book.ledger.holders, (Holder("entry-2", 1),))
+        self.assertEqual(second.book.shares["shop"].fraction, 1.0)
+
+    def test_a_message_that_is_not_understood_is_counted(self):
+        limiter = self.limiter("entry-1")
+        for body in (b"", b"\xff" * 40):
+            limiter._on_message(PeerMessage("entry-2", 1, None, body))
+        self.assertGreaterEqual(limiter.undecoded, 1)
+
+
+class CodecTest(unittest.TestCase):
+    def test_messages_come_back_as_they_went(self):
+        ledger = Ledger(3, (Holder("entry-1", 7), Holder("entry-2", 1)))
+        messages = [
+            Ask("shop", 4, 10.5, 2.0, (Returned(1, 0.0), Returned(2, 3.5))),
+            Grant("shop", 4, 10.5, 0.0),
+            Poll(9, 3),
+            Report(9, 3, True),
+            Report(9, 3, False, ledger),
+        ]
+        for message in messages:
+            self.assertEqual(decode_message(encode_message(message)), message)
+        self.assertEqual(decode_ledger(encode_ledger(ledger)), ledger)
+        self.assertEqual(decode_ledger(None), Ledger())
+
+    def test_amounts_that_make_tokens_are_refused(self):
+        for amount in (-1.0, float("nan"), float("inf")):
+            with self.assertRaises(ShareCodecError):
+                decode_message(encode_message(Grant("shop", 1, amount, 0.0)))
+
+
+if __name__ == "__main__":
+    unittest.main()
