--- a/src/cassiaford/fleet/__init__.py
+++ b/src/cassiaford/fleet/__init__.py
@@ -4,6 +4,7 @@
     ClaimRegistry,
     ClaimService,
     create_claims,
+    shard_of,
 )
 from cassiaford.fleet._configuration import (
     ConfigurationStore,
@@ -20,6 +21,11 @@
     LostRaceError,
     UnknownOutcomeError,
 )
+from cassiaford.fleet._rates import (
+    Limiter,
+    RateLimiter,
+    create_rate_limiter,
+)
 from cassiaford.fleet._transport import (
     Channel,
     Member,
@@ -38,12 +44,16 @@
     "ConfigurationStore",
     "EntryError",
     "Fleet",
+    "Limiter",
     "LostRaceError",
     "Member",
     "PeerMessage",
     "PeerTransport",
+    "RateLimiter",
     "RequestTransport",
     "UnknownOutcomeError",
     "create_claims",
     "create_fleet",
+    "create_rate_limiter",
+    "shard_of",
 ]
--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -4,6 +4,9 @@
 `random.Random`; messages go in and actions come out as frozen data classes.
 """
 
+from cassiaford.policy._buckets import (
+    Bucket,
+)
 from cassiaford.policy._claim_shard import (
     GROUP_WINDOW_S,
     OUTCOME_WINDOW_S,
@@ -22,6 +25,7 @@
     ended_record,
     unavailable,
 )
+from cassiaford.policy._departures import Departure, Departures
 from cassiaford.policy._fair_queue import (
     FairQueue,
     create_fair_queue,
@@ -47,6 +51,11 @@
     SendMessage,
     Superseded,
 )
+from cassiaford.policy._owners import (
+    Holder,
+    Ledger,
+    OwnerTable,
+)
 from cassiaford.policy._placement import (
     Placement,
     PlacementPolicy,
@@ -77,17 +86,41 @@
 from cassiaford.policy._server_health import (
     ServerHealth,
 )
+from cassiaford.policy._share import (
+    Limit,
+)
+from cassiaford.policy._share_messages import (
+    Ask,
+    Grant,
+    Poll,
+    Report,
+    Returned,
+    Send,
+    ShareMessage,
+)
+from cassiaford.policy._shares import (
+    ShareBook,
+)
 
 __all__ = [
+    "Ask",
+    "Bucket",
     "Claim",
     "ClaimAnswer",
     "ClaimRecord",
     "ClaimState",
+    "ENTRIES_MAX_AGE_S",
+    "Departure",
+    "Departures",
     "FailedRequest",
     "Failure",
     "FairQueue",
     "FifoQueue",
     "GROUP_WINDOW_S",
+    "Grant",
+    "Holder",
+    "Ledger",
+    "Limit",
     "MAX_ATTEMPTS",
     "Member",
     "MemberChanged",
@@ -97,23 +130,30 @@
     "MembershipMessage",
     "MessageKind",
     "OUTCOME_WINDOW_S",
+    "OwnerTable",
     "PeerHeard",
     "Placement",
     "PlacementPolicy",
     "PlacementRequest",
+    "Poll",
     "PrefixPlacement",
     "ReadShard",
     "RecordedOutcome",
+    "Report",
     "RequestQueue",
     "RetryBudget",
     "RetryDecision",
+    "Returned",
     "RevisionChange",
     "RevisionPolicy",
+    "Send",
     "SendMessage",
     "ServerHealth",
     "ServerView",
     "Settled",
     "ShardBook",
+    "ShareBook",
+    "ShareMessage",
     "Superseded",
     "Ticket",
     "WriteShard",
@@ -122,7 +162,6 @@
     "create_fair_queue",
     "create_placement",
     "ended_record",
-    "ENTRIES_MAX_AGE_S",
     "next_configuration",
     "rank_entries",
     "unavailable",
--- a/src/cassiaford/settings/_model.py
+++ b/src/cassiaford/settings/_model.py
@@ -49,12 +49,16 @@
 
 @dataclass(frozen=True, config=STRICT)
 class KeyValueSettings:
-    """The platform's key-value service and its list of instances."""
+    """The platform's key-value service and its list of instances.
+
+    `list_lag_s` is the longest time by which the list is late.
+    """
 
     address: Address
     list_address: Address
     timeout_s: Seconds = 1.0
     watch_timeout_s: Seconds = 30.0
+    list_lag_s: Seconds = 10.0
 
 
 @dataclass(frozen=True, config=STRICT)
