--- a/src/cassiaford/pipeline/_caller.py
+++ b/src/cassiaford/pipeline/_caller.py
@@ -51,13 +51,12 @@
         """Drop whatever comes after the request: one answer, then the end."""
 
     def eof_received(self) -> None:
-        """Close; `connection_lost` follows."""
+        """Take a caller that sends no more for one that has left."""
+        self._left()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the listener, whose answer may be incomplete."""
-        if not self.finished:
-            self.finished = True
-            self.listener.caller_left()
+        self._left()
         self.listener.caller_closed()
 
     def pause_writing(self) -> None:
@@ -92,7 +91,7 @@
 
     def write_raw(self, data: bytes) -> None:
         """Write bytes as they are."""
-        if data and not self.finished:
+        if data and not self.finished and not self.transport.is_closing():
             self.transport.write(data)
 
     def finish(self) -> None:
@@ -114,3 +113,8 @@
         self.finished = True
         if self.transport is not None:
             self.transport.abort()
+
+    def _left(self):
+        if not self.finished:
+            self.finished = True
+            self.listener.caller_left()
--- a/src/cassiaford/pipeline/_dispatch.py
+++ b/src/cassiaford/pipeline/_dispatch.py
@@ -5,7 +5,7 @@
 engine to compute, or for a caller to read.
 """
 
-import collections
+import contextlib
 import random
 import socket
 import threading
@@ -16,26 +16,27 @@
 from cassiaford.config import Configuration
 from cassiaford.engines import CacheEvents, LoadReport
 from cassiaford.logs import Event
-from cassiaford.pipeline._exchange import RETRY_AFTER_S, ExchangeOwner
+from cassiaford.pipeline._answers import refusal_response
 from cassiaford.pipeline._forward import ForwardError, cancel_request, send_request
 from cassiaford.pipeline._job import Job
 from cassiaford.pipeline._limits import exchange_limits
 from cassiaford.pipeline._messages import AdmittedRequest, Outcome
+from cassiaford.pipeline._owner import ExchangeOwner
+from cassiaford.pipeline._refusals import stopping_refusal
 from cassiaford.pipeline._relay import Relay
 from cassiaford.pipeline._suspects import SuspectRegister
 from cassiaford.pipeline._upstream import upstream_request
+from cassiaford.pipeline._waiting import WaitingJobs
 from cassiaford.policy import (
     Failure,
     FifoQueue,
     PlacementPolicy,
     RequestQueue,
-    RetryBudget,
     RetryDecision,
-    ServerHealth,
 )
 from cassiaford.settings import LimitSettings
 from cassiaford.timeline import Journal, Subject
-from cassiaford.verdict import Refusal, RefusalReason, Verdict, refuse
+from cassiaford.verdict import Refusal, Verdict
 
 DISPATCH_THREADS = 8
 SETTLE_THREADS = 4
@@ -45,8 +46,8 @@
 MAX_WAITING_CANCELS = 256
 # Waiting requests are looked at this often even if nothing has changed.
 QUEUE_INTERVAL_S = 0.05
-# A request that has a server to go to is given this much time to get there.
-MIN_WAIT_S = 0.001
+# The outcome of a request whose caller was gone before it was submitted.
+UNSEEN = Outcome(Verdict.NOT_RUN, 0)
 CRASHES = (Failure.RESET_BEFORE_ANSWER, Failure.RESET_IN_ANSWER, Failure.SHORT_ANSWER)
 
 
@@ -74,19 +75,16 @@
         queue: RequestQueue,
     ):
         self.settings = settings
-        self.configuration = configuration
         self.placement = placement
         self.journal = journal
-        self.rng = rng
         self.credential = credential
         self.suspects = suspects
         self.clock = clock
-        self.queue = queue
-        self.health = ServerHealth()
-        self.budget = RetryBudget(clock())
+        self.waiting = WaitingJobs(
+            settings, configuration, placement, queue, rng, clock()
+        )
+        self.health = self.waiting.health
         self.jobs = set()
-        self.queued = {}
-        self.urgent = collections.deque()
         self.running = False
         self.relay = Relay(self, exchange_limits(settings))
         self.threads = []
@@ -143,6 +141,9 @@
         The whole answer is written here, and the socket is closed.
         `on_settled` is called exactly once, on another thread.
         """
+        if caller.fileno() < 0:
+            self.settlers.submit(self._report, request, on_settled, UNSEEN)
+            return
         received_at = request.authenticated.caller.received_at
         job = Job(
             request=request,
@@ -152,9 +153,14 @@
             give_up_at=received_at + self.settings.request_timeout_s,
         )
         caller.setblocking(False)
+        refusal = self._refuse_suspect(request)
         with self._changed:
+            if not self.running:
+                self._refuse_directly(job)
+                return
             self.jobs.add(job)
-            refusal = self._admit(job)
+            if refusal is None:
+                refusal = self.waiting.offer(job, self.clock())
             self.relay.open(job)
             self._changed.notify()
         if refusal is not None:
@@ -182,22 +188,16 @@
     def decide_retry(self, job: Job) -> RetryDecision:
         """Ask the retry budget for another attempt."""
         with self._changed:
-            return self.budget.decide(job.after_failure(), self.clock())
+            return self.waiting.budget.decide(job.after_failure(), self.clock())
 
     def requeue(self, job: Job) -> Refusal | None:
         """Send a job again, before those that wait for their first attempt."""
         event = Event.REQUEST_RETRIED if job.resume_at is None else Event.STREAM_RESUMED
         self.journal.record(event, self._subject(job), attempts=job.attempts)
         with self._changed:
-            if job.resume_at is None:
-                refusal = self._refuse_without_server(job)
-                if refusal is not None:
-                    return refusal
-                now = self.clock()
-                job.deadline = min(job.give_up_at, now + self.settings.queue_wait_s)
-            self.urgent.append(job)
+            refusal = self.waiting.offer_again(job, self.clock())
             self._changed.notify()
-        return None
+        return refusal
 
     def server_failed(self, job: Job, failure: Failure) -> None:
         """Suspect the server if the failure is one of its connection."""
@@ -249,7 +249,7 @@
 
     def settled(self, job: Job, outcome: Outcome) -> None:
         """Report the outcome, on another thread."""
-        self.settlers.submit(self._report, job, outcome)
+        self.settlers.submit(self._report, job.request, job.on_settled, outcome)
 
     def caller_left(self, job: Job) -> None:
         """Record that the caller left before its answer was complete."""
@@ -266,8 +266,14 @@
 
     def _dispatch(self):
         while True:
-            with self._changed:
-                job = self._next_job()
+            try:
+                with self._changed:
+                    job = self._next_job()
+            except Exception as error:
+                # The job stays where it is and is refused at its deadline.
+                self._record_fault(error)
+                time.sleep(QUEUE_INTERVAL_S)
+                continue
             if job is None:
                 return
             self._send(job)
@@ -276,65 +282,14 @@
         """Wait for a job that can be sent now; None when stopping."""
         while self.running:
             now = self.clock()
-            self._expire(now)
-            job = self._take_urgent(now) or self._take_queued(now)
+            for late, refusal in self.waiting.expire(now):
+                self.relay.refuse(late, refusal)
+            job = self.waiting.take(now)
             if job is not None:
                 return job
-            waits = bool(self.queued or self.urgent)
-            self._changed.wait(QUEUE_INTERVAL_S if waits else None)
+            self._changed.wait(QUEUE_INTERVAL_S if self.waiting else None)
         return None
 
-    def _take_urgent(self, now):
-        for job in self.urgent:
-            if job.abandoned or job.resume_at is not None or self._place(job, now):
-                self.urgent.remove(job)
-                return job
-        return None
-
-    def _take_queued(self, now):
-        def may_dispatch(ticket):
-            job = self.queued[ticket.request_id]
-            return job.abandoned or self._place(job, now)
-
-        ticket = self.queue.take(now, may_dispatch)
-        if ticket is None:
-            return None
-        self.budget.first_try(now)
-        return self.queued.pop(ticket.request_id)
-
-    def _place(self, job, now):
-        """Choose a server for a job; the choice is made again at each look."""
-        servers = self._servers(job)
-        views = self.health.views(servers, now)
-        request = job.placement_request()
-        placement = self.placement.place(request, views, now, self.rng)
-        if placement is None:
-            return False
-        job.sent_to(next(s for s in servers if s.name == placement.server))
-        self.health.started(placement.server)
-        self.placement.started(placement, request, now)
-        return True
-
-    def _servers(self, job):
-        """Return the servers that could take a job."""
-        configuration = self.configuration()
-        request = job.request
-        if request.call is not None:
-            servers = configuration.engines_for(request.call.model.name)
-        else:
-            route = request.authenticated.route
-            servers = configuration.services_in(route.group)
-        return tuple(s for s in servers if s.name not in job.excluded)
-
-    def _expire(self, now):
-        for ticket in self.queue.expire(now):
-            job = self.queued.pop(ticket.request_id)
-            self.relay.refuse(job, self._too_late(job))
-        for job in tuple(self.urgent):
-            if job.resume_at is None and job.deadline <= now:
-                self.urgent.remove(job)
-                self.relay.refuse(job, self._too_late(job))
-
     def _send(self, job):
         """Send a job's request; its answer comes in the event loop."""
         if job.abandoned:
@@ -351,68 +306,36 @@
             )
         except ForwardError as error:
             self.relay.attempt_failed(job, error.failure)
+        except Exception as error:
+            self._record_fault(error)
+            self.relay.attempt_failed(job, Failure.SEND_FAILED)
         else:
             self.relay.attach(job, sock)
 
+    def _record_fault(self, error):
+        self.journal.record(Event.THREAD_FAILED, error=type(error).__name__)
+
     # Refusals.
 
-    def _admit(self, job):
-        refusal = self._refuse_at_once(job)
-        if refusal is None:
-            refusal = self.queue.offer(job.ticket(), self.clock())
-        if refusal is None:
-            self.queued[job.request.request_id] = job
-        return refusal
+    def _refuse_suspect(self, request):
+        return self.suspects.refusal(request) if self.suspects else None
 
-    def _refuse_at_once(self, job):
-        if not self.running:
-            return refuse(RefusalReason.STOPPING, "the instance stops", RETRY_AFTER_S)
-        if self.suspects is not None:
-            refusal = self.suspects.refusal(job.request)
-            if refusal is not None:
-                return refusal
-        return self._refuse_without_server(job)
-
-    def _refuse_without_server(self, job):
-        """Return a refusal if no server can take a job before its deadline."""
-        now = self.clock()
-        servers = self._servers(job)
-        wait_s = self.health.wait_for_any(servers, now)
-        if servers and now + wait_s < max(job.deadline, now + MIN_WAIT_S):
-            return None
-        return self._no_server(job, max(wait_s, RETRY_AFTER_S))
-
-    def _no_server(self, job, wait_s):
-        verdict = job.verdict
-        if not job.verdicts:
-            return refuse(
-                RefusalReason.NO_BACKEND, "no backend server takes it now", wait_s
-            )
-        reason = RefusalReason.RETRIES_EXHAUSTED
-        if verdict is Verdict.MAY_HAVE_RUN:
-            reason = RefusalReason.BACKEND_FAILED
-        held_s = self.health.hold_left(job.servers, self.clock())
-        text = f"{job.last_failure.text}; no other server is left"
-        return Refusal(reason, verdict, text, max(wait_s, held_s))
-
-    def _too_late(self, job):
-        if job.verdicts:
-            return self._no_server(job, self.settings.queue_wait_s)
-        return refuse(
-            RefusalReason.DEADLINE,
-            "no backend server was free in time",
-            self.settings.queue_wait_s,
-        )
+    def _refuse_directly(self, job):
+        """Answer a job that comes when the event loop does not run."""
+        refusal = stopping_refusal(Verdict.NOT_RUN)
+        with contextlib.suppress(OSError):
+            job.caller.send(refusal_response(refusal, job.request.request_id))
+        job.caller.close()
+        outcome = Outcome(refusal.verdict, refusal.reason.status, refusal=refusal)
+        self._report(job.request, job.on_settled, outcome)
 
     # Threads for settling and cancelling.
 
-    def _report(self, job, outcome):
+    def _report(self, request, on_settled, outcome):
         try:
-            job.on_settled(job.request, outcome)
+            on_settled(request, outcome)
         except Exception as error:
-            self.journal.record(
-                Event.THREAD_FAILED, self._subject(job), error=type(error).__name__
-            )
+            self._record_fault(error)
 
     def _cancel(self, address, request_id):
         try:
--- a/src/cassiaford/pipeline/_exchange.py
+++ b/src/cassiaford/pipeline/_exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 from cassiaford.pipeline._answer_connection import AnswerConnection, AttemptListener
@@ -22,6 +21,8 @@
 from cassiaford.pipeline._job import Job
 from cassiaford.pipeline._limits import ExchangeLimits
 from cassiaford.pipeline._messages import Header, Outcome
+from cassiaford.pipeline._owner import ExchangeOwner
+from cassiaford.pipeline._refusals import failure_refusal, stopping_refusal
 from cassiaford.pipeline._response import BODILESS_STATUSES, AnswerHead
 from cassiaford.pipeline._statuses import (
     answer_verdict,
@@ -29,67 +30,8 @@
     retry_after,
     wrong_request,
 )
-from cassiaford.policy import Failure, RetryDecision
-from cassiaford.verdict import Refusal, RefusalReason, Verdict, combine
-
-RETRY_AFTER_S = 1.0
-# A stream is resumed this often without a new event before it goes elsewhere.
-MAX_FRUITLESS_RESUMES = 2
-
-_RESUMABLE = frozenset(
-    {
-        Failure.SILENT,
-        Failure.RESET_IN_ANSWER,
-        Failure.SHORT_ANSWER,
-        Failure.FIRST_BYTE_TIMEOUT,
-    }
-)
-
-
-class ExchangeOwner(ABC):
-    """Decides about the attempts of exchanges and keeps the accounts."""
-
-    clock: Callable[[], float]
-
-    @abstractmethod
-    def decide_retry(self, job: Job) -> RetryDecision:
-        """Return whether a job may be sent to another server."""
-
-    @abstractmethod
-    def requeue(self, job: Job) -> Refusal | None:
-        """Send a job again, or return why it cannot be sent."""
-
-    @abstractmethod
-    def server_failed(self, job: Job, failure: Failure) -> None:
-        """Take note of what a failure says about the job's server."""
-
-    @abstractmethod
-    def server_left(self, job: Job, answered: bool) -> None:
-        """Take note that a job no longer runs on its server."""
-
-    @abstractmethod
-    def hold_server(self, job: Job, wait_s: float) -> None:
-        """Take note that the job's server asked to be left alone."""
-
-    @abstractmethod
-    def cancel(self, job: Job) -> None:
-        """Stop the job's work at its engine."""
-
-    @abstractmethod
-    def first_byte(self, job: Job) -> None:
-        """Take note that the answer's body has begun."""
-
-    @abstractmethod
-    def settled(self, job: Job, outcome: Outcome) -> None:
-        """Take note of how a job ended; called once for each job."""
-
-    @abstractmethod
-    def caller_left(self, job: Job) -> None:
-        """Take note that the caller left before its answer was complete."""
-
-    @abstractmethod
-    def over(self, job: Job) -> None:
-        """Take note that a job is settled and its caller's connection closed."""
+from cassiaford.policy import Failure, RetryDecision, may_resume
+from cassiaford.verdict import Refusal, Verdict, combine
 
 
 class Exchange(AttemptListener, CallerListener):
@@ -147,7 +89,7 @@
 
     def refuse(self, refusal: Refusal) -> None:
         """Answer with a refusal and end."""
-        if self.job.abandoned:
+        if self.caller.finished:
             self._leave()
             return
         self.status = refusal.reason.status
@@ -163,10 +105,8 @@
             return False
         self._drop_connection(cancel=True)
         verdict = combine([*self.job.verdicts, self._current_verdict()])
-        self._end_with(
-            Refusal(RefusalReason.STOPPING, verdict, "the instance stops", 1.0)
-        )
         self.job.abandoned = True
+        self.when_open(self._end_with, stopping_refusal(verdict))
         return True
 
     def sweep(self, now: float) -> None:
@@ -257,19 +197,9 @@
     # Recovery.
 
     def _may_resume(self, failure):
-        job = self.job
-        known = job.request.repeatable or job.server_echoes_id
-        return (
-            job.upstream.streaming
-            and failure in _RESUMABLE
-            and known
-            and not job.progress.complete
-            and job.resumes < MAX_FRUITLESS_RESUMES
-            and self._answered_with_events()
-        )
-
-    def _answered_with_events(self):
-        return self.body is None or isinstance(self.body, EventStreamRelay)
+        if self.body is not None and not isinstance(self.body, EventStreamRelay):
+            return False
+        return may_resume(self.job.broken_stream(), failure)
 
     def _resume(self):
         self.job.resumes += 1
@@ -287,7 +217,7 @@
             self.body = None
             self._requeue()
         else:
-            self._fail_finally(failure, retry_after_s)
+            self._end_with(failure_refusal(self.job, failure, retry_after_s))
 
     def _may_replay(self):
         """Return whether a new run can continue what the caller has."""
@@ -303,15 +233,6 @@
         if refusal is not None:
             self._end_with(refusal)
 
-    def _fail_finally(self, failure, retry_after_s):
-        verdict = self.job.verdict
-        may_help = verdict.may_retry(self.job.request.repeatable) and not failure.final
-        wait_s = (retry_after_s or RETRY_AFTER_S) if may_help else None
-        reason = failure.reason
-        if verdict is Verdict.MAY_HAVE_RUN and failure.verdict is Verdict.NOT_RUN:
-            reason = RefusalReason.BACKEND_FAILED
-        self._end_with(Refusal(reason, verdict, failure.text, wait_s))
-
     def _end_with(self, refusal):
         """Refuse, or break a begun answer off so that the caller sees it."""
         if not self.caller.started:
--- a/src/cassiaford/pipeline/_job.py
+++ b/src/cassiaford/pipeline/_job.py
@@ -6,7 +6,13 @@
 from cassiaford.config import BackendServer
 from cassiaford.pipeline._messages import AdmittedRequest, Outcome, Usage
 from cassiaford.pipeline._upstream import UpstreamRequest
-from cassiaford.policy import FailedRequest, Failure, PlacementRequest, Ticket
+from cassiaford.policy import (
+    BrokenStream,
+    FailedRequest,
+    Failure,
+    PlacementRequest,
+    Ticket,
+)
 from cassiaford.verdict import Verdict, combine
 
 # Events kept to compare a second run with the first; a stream that has sent
@@ -137,6 +143,16 @@
             give_up_at=self.give_up_at,
         )
 
+    def broken_stream(self) -> BrokenStream:
+        """Return what the decision on a resumption needs."""
+        return BrokenStream(
+            streaming=self.upstream.streaming,
+            repeatable=self.request.repeatable,
+            known_to_server=self.server_echoes_id,
+            complete=self.progress.complete,
+            fruitless_resumes=self.resumes,
+        )
+
     def ticket(self) -> Ticket:
         """Return the place in the queue that the request asks for."""
         return Ticket(
--- a/src/cassiaford/pipeline/_relay.py
+++ b/src/cassiaford/pipeline/_relay.py
@@ -9,13 +9,17 @@
 import threading
 from collections.abc import Callable
 
-from cassiaford.pipeline._exchange import Exchange, ExchangeOwner
+from cassiaford.pipeline._exchange import Exchange
 from cassiaford.pipeline._job import Job
 from cassiaford.pipeline._limits import ExchangeLimits
+from cassiaford.pipeline._owner import ExchangeOwner
 from cassiaford.verdict import Refusal
 
 MAX_SWEEP_INTERVAL_S = 0.25
 SWEEPS_PER_SILENCE_TIMEOUT = 4
+# When the loop stops, callers have this time to read the end of their answer.
+CLOSE_TIMEOUT_S = 0.5
+CLOSE_INTERVAL_S = 0.005
 
 
 class Relay:
@@ -73,12 +77,13 @@
         self._close_loop()
 
     def _close_loop(self):
+        self._cut_all()
+        give_up_at = self.loop.time() + CLOSE_TIMEOUT_S
+        while self.exchanges and self.loop.time() < give_up_at:
+            self.loop.run_until_complete(asyncio.sleep(CLOSE_INTERVAL_S))
         for exchange in self.exchanges.values():
-            exchange.cut()
-        # One more turn lets the transports close their sockets.
-        for task in asyncio.all_tasks(self.loop):
-            task.cancel()
-        self.loop.run_until_complete(asyncio.sleep(0))
+            exchange.caller.abort()
+        # Another turn of the loop closes the sockets.
         self.loop.run_until_complete(asyncio.sleep(0))
         self.loop.close()
 
--- /dev/null
+++ b/src/cassiaford/pipeline/_waiting.py
@@ -0,0 +1,138 @@
+"""Jobs that wait for a backend server, and the choice of one.
+
+Not safe for threads by itself: the dispatcher calls it under its lock.
+"""
+
+import collections
+import random
+from collections.abc import Callable
+
+from cassiaford.config import BackendServer, Configuration
+from cassiaford.pipeline._job import Job
+from cassiaford.pipeline._refusals import late_refusal, no_server_refusal
+from cassiaford.policy import PlacementPolicy, RequestQueue, RetryBudget, ServerHealth
+from cassiaford.settings import LimitSettings
+from cassiaford.verdict import Refusal
+
+# A request with a server to go to is given at least this time to get there.
+MIN_WAIT_S = 0.001
+
+
+class WaitingJobs:
+    """Decides which job is sent next, and where.
+
+    First come the jobs that are sent again: a resumption goes back to its
+    server at once, a retry is placed anew. Then comes the queue.
+    """
+
+    def __init__(
+        self,
+        settings: LimitSettings,
+        configuration: Callable[[], Configuration],
+        placement: PlacementPolicy,
+        queue: RequestQueue,
+        rng: random.Random,
+        now: float,
+    ):
+        self.settings = settings
+        self.configuration = configuration
+        self.placement = placement
+        self.queue = queue
+        self.rng = rng
+        self.health = ServerHealth()
+        self.budget = RetryBudget(now)
+        self.queued = {}
+        self.again = collections.deque()
+
+    def __bool__(self) -> bool:
+        return bool(self.queued or self.again)
+
+    def offer(self, job: Job, now: float) -> Refusal | None:
+        """Take in a new job, or return why it is refused."""
+        refusal = self._refuse_without_server(job, now)
+        if refusal is None:
+            refusal = self.queue.offer(job.ticket(), now)
+        if refusal is None:
+            self.queued[job.request.request_id] = job
+        return refusal
+
+    def offer_again(self, job: Job, now: float) -> Refusal | None:
+        """Take in a job that was sent before, or return why it is refused."""
+        if job.resume_at is None:
+            job.deadline = min(job.give_up_at, now + self.settings.queue_wait_s)
+            refusal = self._refuse_without_server(job, now)
+            if refusal is not None:
+                return refusal
+        self.again.append(job)
+        return None
+
+    def take(self, now: float) -> Job | None:
+        """Remove and return the next job, placed unless its caller has left."""
+        return self._take_again(now) or self._take_queued(now)
+
+    def expire(self, now: float) -> list[tuple[Job, Refusal]]:
+        """Remove the jobs past their deadline and return them with refusals."""
+        expired = [
+            self.queued.pop(ticket.request_id) for ticket in self.queue.expire(now)
+        ]
+        for job in tuple(self.again):
+            if job.resume_at is None and job.deadline <= now:
+                self.again.remove(job)
+                expired.append(job)
+        wait_s = self.settings.queue_wait_s
+        return [(job, late_refusal(job, wait_s)) for job in expired]
+
+    def _take_again(self, now):
+        for job in self.again:
+            if job.abandoned or job.resume_at is not None or self._place(job, now):
+                self.again.remove(job)
+                return job
+        return None
+
+    def _take_queued(self, now):
+        def may_dispatch(ticket):
+            job = self.queued[ticket.request_id]
+            return job.abandoned or self._place(job, now)
+
+        ticket = self.queue.take(now, may_dispatch)
+        if ticket is None:
+            return None
+        self.budget.first_try(now)
+        return self.queued.pop(ticket.request_id)
+
+    def _place(self, job, now):
+        """Choose a server for a job; the choice is made again at each look."""
+        servers = self._servers(job)
+        views = self.health.views(servers, now)
+        request = job.placement_request()
+        placement = self.placement.place(request, views, now, self.rng)
+        if placement is None:
+            return False
+        job.sent_to(_named(servers, placement.server))
+        self.health.started(placement.server)
+        self.placement.started(placement, request, now)
+        return True
+
+    def _servers(self, job):
+        """Return the servers that could take a job."""
+        configuration = self.configuration()
+        request = job.request
+        if request.call is not None:
+            servers = configuration.engines_for(request.call.model.name)
+        else:
+            route = request.authenticated.route
+            servers = configuration.services_in(route.group)
+        return tuple(s for s in servers if s.name not in job.excluded)
+
+    def _refuse_without_server(self, job, now):
+        """Return a refusal if no server can take a job before its deadline."""
+        servers = self._servers(job)
+        wait_s = self.health.wait_for_any(servers, now)
+        if servers and now + wait_s < max(job.deadline, now + MIN_WAIT_S):
+            return None
+        held_s = self.health.hold_left(job.servers, now)
+        return no_server_refusal(job, max(wait_s, held_s))
+
+
+def _named(servers: tuple[BackendServer, ...], name: str) -> BackendServer:
+    return next(server for server in servers if server.name == name)
--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -11,6 +11,7 @@
     ServerView,
 )
 from cassiaford.policy._queue import FifoQueue, RequestQueue, Ticket
+from cassiaford.policy._resumption import BrokenStream, may_resume
 from cassiaford.policy._retries import (
     MAX_ATTEMPTS,
     FailedRequest,
@@ -22,6 +23,7 @@
 
 __all__ = [
     "MAX_ATTEMPTS",
+    "BrokenStream",
     "FailedRequest",
     "Failure",
     "FifoQueue",
@@ -34,4 +36,5 @@
     "ServerHealth",
     "ServerView",
     "Ticket",
+    "may_resume",
 ]
