--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -25,7 +25,10 @@
     ended_record,
     unavailable,
 )
-from cassiaford.policy._departures import Departure, Departures
+from cassiaford.policy._departures import (
+    Departure,
+    Departures,
+)
 from cassiaford.policy._fair_queue import (
     FairQueue,
     create_fair_queue,
@@ -71,6 +74,10 @@
     RequestQueue,
     Ticket,
 )
+from cassiaford.policy._resumption import (
+    BrokenStream,
+    may_resume,
+)
 from cassiaford.policy._retries import (
     MAX_ATTEMPTS,
     FailedRequest,
@@ -104,14 +111,15 @@
 
 __all__ = [
     "Ask",
+    "BrokenStream",
     "Bucket",
     "Claim",
     "ClaimAnswer",
     "ClaimRecord",
     "ClaimState",
-    "ENTRIES_MAX_AGE_S",
     "Departure",
     "Departures",
+    "ENTRIES_MAX_AGE_S",
     "FailedRequest",
     "Failure",
     "FairQueue",
@@ -162,6 +170,7 @@
     "create_fair_queue",
     "create_placement",
     "ended_record",
+    "may_resume",
     "next_configuration",
     "rank_entries",
     "unavailable",
