--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -12,10 +12,11 @@
     ServerView,
 )
 from cassiaford.policy._prefix_placement import PrefixPlacement, create_placement
-from cassiaford.policy._queue import RequestQueue, Ticket
+from cassiaford.policy._queue import FifoQueue, RequestQueue, Ticket
 
 __all__ = [
     "FairQueue",
+    "FifoQueue",
     "Placement",
     "PlacementPolicy",
     "PlacementRequest",
--- a/src/cassiaford/policy/_fair_queue.py
+++ b/src/cassiaford/policy/_fair_queue.py
@@ -50,6 +50,7 @@
         self._classes = {name: ClassQueue() for name in SERVICE_CLASSES}
         self._tickets = {}
         self._deadlines = []
+        self._expired = []
         self._passed_over_since = {}
 
     def __len__(self) -> int:
@@ -71,7 +72,12 @@
         return refusal
 
     def take(self, now: float, may_dispatch: Callable[[Ticket], bool]) -> Ticket | None:
-        """Remove and return the next request that may be dispatched."""
+        """Remove and return the next request that may be dispatched.
+
+        `may_dispatch` is asked only for a request whose turn it is, and the
+        first one that it agrees to is returned.
+        """
+        self._set_expired_aside(now)
         for name in self._order(now):
             ticket = self._classes[name].take(may_dispatch)
             if ticket is not None:
@@ -83,19 +89,12 @@
 
     def expire(self, now: float) -> tuple[Ticket, ...]:
         """Remove and return the requests whose deadline has passed."""
-        expired = []
-        while self._deadlines and self._deadlines[0][0] <= now:
-            _, request_id = heapq.heappop(self._deadlines)
-            ticket = self._tickets.get(request_id)
-            if ticket is not None and ticket.deadline <= now:
-                self.discard(request_id)
-                expired.append(ticket)
-        if not self._tickets:
-            self.drain_rate.emptied(now)
+        self._set_expired_aside(now)
+        expired, self._expired = self._expired, []
         return tuple(expired)
 
     def discard(self, request_id: str) -> None:
-        """Remove a request whose caller has left, if it is here."""
+        """Remove a request whose caller has left, if it waits here."""
         ticket = self._tickets.pop(request_id, None)
         if ticket is not None:
             self._classes[ticket.service_class].remove(ticket)
@@ -133,6 +132,17 @@
             _bounded(wait_s, 1),
         )
 
+    def _set_expired_aside(self, now: float) -> None:
+        # Kept for the next call of expire, so that each is answered for.
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, request_id = heapq.heappop(self._deadlines)
+            ticket = self._tickets.get(request_id)
+            if ticket is not None and ticket.deadline <= now:
+                self.discard(request_id)
+                self._expired.append(ticket)
+        if not self._tickets:
+            self.drain_rate.emptied(now)
+
     def _insert(self, ticket: Ticket, now: float) -> None:
         queue = self._classes[ticket.service_class]
         if not queue:
--- a/src/cassiaford/policy/_queue.py
+++ b/src/cassiaford/policy/_queue.py
@@ -1,18 +1,19 @@
-"""What the dispatcher asks of the queue before it."""
+"""The queue of requests that wait for a backend server."""
 
+import collections
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from cassiaford.verdict import Refusal
+from cassiaford.verdict import Refusal, RefusalReason, refuse
 
 
 @dataclass(frozen=True)
 class Ticket:
-    """A request that waits to be dispatched.
+    """A request's place in the queue.
 
-    `service_class` is the name of its class, `tokens` its prompt and
-    permitted output, `deadline` the latest time for its dispatch.
+    `tokens` is what the request is charged with; `deadline` is the latest
+    time, in seconds on the monotonic clock, at which it may be sent.
     """
 
     request_id: str
@@ -23,24 +24,62 @@
 
 
 class RequestQueue(ABC):
-    """Keeps requests that wait for a backend server and says whose turn it is."""
+    """Decides in which order waiting requests are sent."""
 
     @abstractmethod
     def offer(self, ticket: Ticket, now: float) -> Refusal | None:
-        """Take a request in, or refuse it."""
+        """Take in a ticket, or return why it is refused."""
 
     @abstractmethod
     def take(self, now: float, may_dispatch: Callable[[Ticket], bool]) -> Ticket | None:
-        """Remove and return the next request that may be dispatched."""
+        """Remove and return the next ticket that may be sent now, if any.
+
+        `may_dispatch` says whether some backend server can take a request.
+        """
 
     @abstractmethod
     def expire(self, now: float) -> tuple[Ticket, ...]:
-        """Remove and return the requests whose deadline has passed."""
+        """Remove and return the tickets whose deadline has passed."""
 
-    @abstractmethod
-    def discard(self, request_id: str) -> None:
-        """Remove a request whose caller has left, if it is here."""
 
-    @abstractmethod
-    def __len__(self) -> int:
-        """Return the number of requests that wait."""
+class FifoQueue(RequestQueue):
+    """A bounded queue in order of arrival.
+
+    A request that no server can take now does not hold up those behind it.
+
+    Examples
+    --------
+    >>> queue = FifoQueue(capacity=1, wait_s=2.0)
+    >>> queue.offer(Ticket("a", "academy", "standard", 10, 5.0), now=0.0)
+    >>> queue.offer(Ticket("b", "academy", "standard", 10, 5.0), now=0.0).reason
+    <RefusalReason.QUEUE_FULL: ('queue_full', 503, 'overloaded_error')>
+    """
+
+    def __init__(self, capacity: int, wait_s: float):
+        self.capacity = capacity
+        self.wait_s = wait_s
+        self.tickets = collections.deque()
+
+    def offer(self, ticket: Ticket, now: float) -> Refusal | None:
+        """Take in a ticket unless the queue is full."""
+        if len(self.tickets) >= self.capacity:
+            return refuse(
+                RefusalReason.QUEUE_FULL, "too many requests wait", self.wait_s
+            )
+        self.tickets.append(ticket)
+        return None
+
+    def take(self, now: float, may_dispatch: Callable[[Ticket], bool]) -> Ticket | None:
+        """Remove and return the oldest ticket that may be sent."""
+        for ticket in self.tickets:
+            if ticket.deadline > now and may_dispatch(ticket):
+                self.tickets.remove(ticket)
+                return ticket
+        return None
+
+    def expire(self, now: float) -> tuple[Ticket, ...]:
+        """Remove and return the tickets whose deadline has passed."""
+        expired = tuple(t for t in self.tickets if t.deadline <= now)
+        for ticket in expired:
+            self.tickets.remove(ticket)
+        return expired
