--- a/src/cassiaford/policy/_prefix_homes.py
+++ b/src/cassiaford/policy/_prefix_homes.py
@@ -6,23 +6,22 @@
 """
 
 import heapq
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import xxhash
 
 from cassiaford.policy._block_table import BlockTable, KnownBlock
 from cassiaford.policy._placement import ServerView
+from cassiaford.policy._server_index import ServerIndex, ServerIndexes
 
 MAX_HOMES = 16
 # A ranking is worked out anew after this time, for servers that have joined.
-RANKING_LIFE_S = 1.0
+RANKING_LIFE_S = 10.0
 # A longer prefix is a level of its own if it has at most this part of the
 # requests of the shorter one, and at least this many recent requests.
 LEVEL_RATIO = 0.8
 MIN_LEVEL_REQUESTS = 2.0
-# Homes for each part of the recent requests that one server's share makes up.
-HOMES_PER_SHARE = 1.0
 
 
 @dataclass(frozen=True)
@@ -60,9 +59,10 @@
 
     def __init__(self, table: BlockTable):
         self.table = table
+        self.indexes = ServerIndexes()
 
     def find(
-        self, prompt: PromptBlocks, views: Mapping[str, ServerView], now: float
+        self, prompt: PromptBlocks, servers: Sequence[ServerView], now: float
     ) -> Homes:
         """Return the homes of a prompt, best first.
 
@@ -72,12 +72,13 @@
         if not prompt.chain:
             return Homes()
         weight = self.table.weight_at(now)
-        ranking = self._ranking(prompt, 0, views, now)
+        ranking = self._first_level(prompt, servers, now)
         needed = len(ranking)
-        for index in _levels(prompt.blocks, weight):
-            if index:
-                ranking = _narrowed(prompt.chain[index], ranking, needed)
-            needed = min(needed, self._needed(prompt.blocks[index], len(views)))
+        for number in _levels(prompt.blocks, weight):
+            if number:
+                ranking = _narrowed(prompt.chain[number], ranking, needed)
+            known = prompt.blocks[number]
+            needed = min(needed, self._needed(known, len(servers)))
             if needed == 1:
                 break
         return Homes(ranking, needed)
@@ -85,44 +86,46 @@
     def _needed(self, known: KnownBlock | None, servers: int) -> int:
         if known is None or not self.table.total_weight:
             return 1
-        share = known.weight / self.table.total_weight
-        return 1 + int(share * servers * HOMES_PER_SHARE)
-
-    def _ranking(
-        self,
-        prompt: PromptBlocks,
-        index: int,
-        views: Mapping[str, ServerView],
-        now: float,
+        return 1 + int(known.weight / self.table.total_weight * servers)
+
+    def _first_level(
+        self, prompt: PromptBlocks, servers: Sequence[ServerView], now: float
     ) -> Sequence[str]:
-        known = prompt.blocks[index]
+        known = prompt.blocks[0]
         if known is None:
-            return rank(prompt.chain[index], views)
-        if _is_stale(known, views, now):
-            known.ranking = rank(prompt.chain[index], views)
+            return rank(prompt.chain[0], self.indexes.index_of(servers))
+        if self._is_stale(known, servers, now):
+            known.ranking = rank(prompt.chain[0], self.indexes.renew(servers))
             known.ranked_at = now
         return known.ranking
 
+    def _is_stale(
+        self, known: KnownBlock, servers: Sequence[ServerView], now: float
+    ) -> bool:
+        ranking = known.ranking
+        if len(ranking) != min(MAX_HOMES, len(servers)):
+            return True
+        if now - known.ranked_at > RANKING_LIFE_S:
+            return True
+        index = self.indexes.index_of(servers)
+        return any(index.find(name, servers) is None for name in ranking)
+
 
-def rank(block: int, names: Sequence[str] | Mapping[str, ServerView]) -> list[str]:
+def rank(block: int, index: ServerIndex) -> list[str]:
     """Return the first backend servers in rendezvous order for a block."""
     digest = xxhash.xxh3_64_intdigest
-    return heapq.nlargest(
-        MAX_HOMES, names, key=lambda name: digest(name.encode(), block)
-    )
+    weights = [digest(name, block) for name in index.encoded]
+    highest = heapq.nlargest(MAX_HOMES, weights)
+    names = dict(zip(weights, index.names, strict=True))
+    return [names[weight] for weight in highest]
 
 
 def _narrowed(block: int, ranking: Sequence[str], needed: int) -> list[str]:
-    return rank(block, ranking[:needed]) + list(ranking[needed:])
-
-
-def _is_stale(known: KnownBlock, views: Mapping[str, ServerView], now: float) -> bool:
-    ranking = known.ranking
-    if not ranking or now - known.ranked_at > RANKING_LIFE_S:
-        return True
-    return len(ranking) != min(MAX_HOMES, len(views)) or not all(
-        name in views for name in ranking
+    digest = xxhash.xxh3_64_intdigest
+    homes = sorted(
+        ranking[:needed], key=lambda name: digest(name.encode(), block), reverse=True
     )
+    return homes + list(ranking[needed:])
 
 
 def _levels(blocks: Sequence[KnownBlock | None], weight: float) -> list[int]:
@@ -131,12 +134,12 @@
     if blocks[0] is None:
         return levels
     above = blocks[0].weight
-    for index in range(1, len(blocks)):
-        known = blocks[index]
-        if known is None or known.weight < MIN_LEVEL_REQUESTS * weight:
+    least = MIN_LEVEL_REQUESTS * weight
+    for number, known in enumerate(blocks):
+        if known is None or known.weight < least:
             break
         if known.weight <= LEVEL_RATIO * above:
-            levels.append(index)
+            levels.append(number)
             above = known.weight
     return levels
 
@@ -146,9 +149,9 @@
     # end of a prompt first; so an event lost in between does no harm.
     runs = []
     found = 0
-    for index in range(len(blocks) - 1, -1, -1):
-        known = blocks[index]
+    for length in range(len(blocks), 0, -1):
+        known = blocks[length - 1]
         if known is not None and known.holders & ~found:
-            runs.append((index + 1, known.holders & ~found))
+            runs.append((length, known.holders & ~found))
             found |= known.holders
     return runs
--- a/src/cassiaford/policy/_prefix_placement.py
+++ b/src/cassiaford/policy/_prefix_placement.py
@@ -5,9 +5,8 @@
 Beliefs about caches and queues then choose by expected time.
 """
 
-import itertools
 import random
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 
 from cassiaford.engines import (
     BLOCK_BYTES,
@@ -100,24 +99,20 @@
         rng: random.Random,
     ) -> Placement | None:
         """Return the usable backend server with the lowest expected cost."""
-        views = {view.name: view for view in servers}
         prompt = PromptBlocks(request.chain, self.table)
-        homes = self.home_finder.find(prompt, views, now)
-        usable_homes = _usable_homes(homes, views, request)
+        homes = self.home_finder.find(prompt, servers, now) if servers else Homes()
         best, best_cost = None, 0.0
-        for view in self._candidates(prompt, homes, views, request, rng):
+        for view in self._candidates(prompt, homes, servers, request, rng):
             load = self._load(view.name)
             held = min(prompt.held(load.bit) * BLOCK_TOKENS, request.prompt_tokens)
-            wait_s = self._wait_s(load, view, now)
             missing = request.prompt_tokens - held
-            cost = wait_s + RECOMPUTE_WEIGHT * missing / load.tokens_per_s
-            cost += JITTER_S * rng.random()
-            if view.name in usable_homes:
-                credit = missing * _home_credit(load, now)
-                cost -= RECOMPUTE_WEIGHT * credit / load.tokens_per_s
+            wait_s = self._wait_s(load, view, now)
+            missing_s = missing / load.tokens_per_s
+            cost = wait_s + RECOMPUTE_WEIGHT * missing_s + JITTER_S * rng.random()
+            if view.name in homes.ranking[: homes.needed]:
+                cost -= RECOMPUTE_WEIGHT * missing_s * _home_credit(load, now)
             if best is None or cost < best_cost:
-                expected_s = wait_s + missing / load.tokens_per_s
-                best = Placement(view.name, held, expected_s)
+                best = Placement(view.name, held, wait_s + missing_s)
                 best_cost = cost
         return best
 
@@ -203,9 +198,8 @@
         self, request: PlacementRequest, servers: Sequence[ServerView], now: float
     ) -> Homes:
         """Return the homes of a request's prompt, whatever their state."""
-        views = {view.name: view for view in servers}
         prompt = PromptBlocks(request.chain, self.table)
-        return self.home_finder.find(prompt, views, now)
+        return self.home_finder.find(prompt, servers, now)
 
     def _load(self, server: str) -> ServerLoad:
         load = self.loads.get(server)
@@ -261,20 +255,31 @@
         self,
         prompt: PromptBlocks,
         homes: Homes,
-        views: Mapping[str, ServerView],
+        servers: Sequence[ServerView],
         request: PlacementRequest,
         rng: random.Random,
     ) -> Iterable[ServerView]:
-        if len(views) <= SCORE_ALL_SERVERS:
-            return [view for view in views.values() if _is_usable(view, request)]
+        if len(servers) > SCORE_ALL_SERVERS:
+            few = self._few_candidates(prompt, homes, servers, rng)
+            usable = [view for view in few if _is_usable(view, request)]
+            if usable:
+                return usable
+        return [view for view in servers if _is_usable(view, request)]
+
+    def _few_candidates(
+        self,
+        prompt: PromptBlocks,
+        homes: Homes,
+        servers: Sequence[ServerView],
+        rng: random.Random,
+    ) -> Iterable[ServerView]:
         names = dict.fromkeys(homes.ranking[: homes.needed + SPARE_HOMES])
         names.update(dict.fromkeys(self._holders(prompt, rng)))
-        names.update(dict.fromkeys(rng.sample(tuple(views), SAMPLED_SERVERS)))
-        chosen = [views[name] for name in names if name in views]
-        usable = [view for view in chosen if _is_usable(view, request)]
-        if usable:
-            return usable
-        return [view for view in views.values() if _is_usable(view, request)]
+        index = self.home_finder.indexes.index_of(servers)
+        found = {name: index.find(name, servers) for name in names}
+        for view in rng.sample(servers, SAMPLED_SERVERS):
+            found[view.name] = view
+        return [view for view in found.values() if view is not None]
 
     def _holders(self, prompt: PromptBlocks, rng: random.Random) -> list[str]:
         names = []
@@ -292,13 +297,6 @@
     return view.name not in request.excluded
 
 
-def _usable_homes(
-    homes: Homes, views: Mapping[str, ServerView], request: PlacementRequest
-) -> list[str]:
-    usable = (name for name in homes.ranking if _is_usable(views[name], request))
-    return list(itertools.islice(usable, homes.needed))
-
-
 def _home_credit(load: ServerLoad, now: float) -> float:
     if load.listening_since is None:
         return COLD_CREDIT
--- /dev/null
+++ b/src/cassiaford/policy/_server_index.py
@@ -0,0 +1,53 @@
+"""Finding the view of a backend server by its name, without a scan a call."""
+
+from collections.abc import Sequence
+
+from cassiaford.policy._placement import ServerView
+
+# Sets of backend servers, one for each model, whose order is remembered.
+MAX_KNOWN_SETS = 64
+
+
+class ServerIndex:
+    """The order in which a set of backend servers was last given.
+
+    `encoded` holds the names as bytes, for hashing. What is found is checked
+    against the sequence at hand, so an order that has changed does no harm.
+    """
+
+    def __init__(self, servers: Sequence[ServerView]):
+        self.names = [view.name for view in servers]
+        self.encoded = [name.encode() for name in self.names]
+        self.positions = {name: number for number, name in enumerate(self.names)}
+
+    def find(self, name: str, servers: Sequence[ServerView]) -> ServerView | None:
+        """Return the view of a name, None if it is absent or has moved."""
+        position = self.positions.get(name)
+        if position is None or position >= len(servers):
+            return None
+        view = servers[position]
+        return view if view.name == name else None
+
+
+class ServerIndexes:
+    """The indexes of the sets of backend servers met lately."""
+
+    def __init__(self):
+        self._known = {}
+
+    def index_of(self, servers: Sequence[ServerView]) -> ServerIndex:
+        """Return the index of a set, which may be that of an earlier state."""
+        index = self._known.get(_signature(servers))
+        return self.renew(servers) if index is None else index
+
+    def renew(self, servers: Sequence[ServerView]) -> ServerIndex:
+        """Return an index of the set as it is now."""
+        if len(self._known) >= MAX_KNOWN_SETS:
+            self._known.clear()
+        index = ServerIndex(servers)
+        self._known[_signature(servers)] = index
+        return index
+
+
+def _signature(servers: Sequence[ServerView]) -> tuple[int, str, str]:
+    return len(servers), servers[0].name, servers[-1].name
