--- a/src/cassiaford/policy/_prefix_homes.py
+++ b/src/cassiaford/policy/_prefix_homes.py
@@ -5,7 +5,6 @@
 instances agree without talking.
 """
 
-import heapq
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -16,6 +15,8 @@
 from cassiaford.policy._server_index import ServerIndex, ServerIndexes
 
 MAX_HOMES = 16
+HASH_RANGE = 2**64
+RANK_MARGIN = 3
 # A ranking is worked out anew after this time, for servers that have joined.
 RANKING_LIFE_S = 10.0
 # A longer prefix is a level of its own if it has at most this part of the
@@ -93,9 +94,10 @@
     ) -> Sequence[str]:
         known = prompt.blocks[0]
         if known is None:
-            return rank(prompt.chain[0], self.indexes.index_of(servers))
+            return rank(prompt.chain[0], self.indexes.index_of(servers, now))
         if self._is_stale(known, servers, now):
-            known.ranking = rank(prompt.chain[0], self.indexes.renew(servers))
+            index = self.indexes.fresh_index_of(servers, now)
+            known.ranking = rank(prompt.chain[0], index)
             known.ranked_at = now
         return known.ranking
 
@@ -107,17 +109,20 @@
             return True
         if now - known.ranked_at > RANKING_LIFE_S:
             return True
-        index = self.indexes.index_of(servers)
-        return any(index.find(name, servers) is None for name in ranking)
+        return len(self.indexes.find_all(ranking, servers, now)) < len(ranking)
 
 
 def rank(block: int, index: ServerIndex) -> list[str]:
     """Return the first backend servers in rendezvous order for a block."""
     digest = xxhash.xxh3_64_intdigest
     weights = [digest(name, block) for name in index.encoded]
-    highest = heapq.nlargest(MAX_HOMES, weights)
-    names = dict(zip(weights, index.names, strict=True))
-    return [names[weight] for weight in highest]
+    # Hashes are spread evenly, so that few lie above this and enough do.
+    floor = HASH_RANGE - HASH_RANGE * RANK_MARGIN * MAX_HOMES // len(weights)
+    pairs = zip(weights, index.names, strict=True)
+    highest = [pair for pair in pairs if pair[0] > floor]
+    if len(highest) < MAX_HOMES:
+        highest = zip(weights, index.names, strict=True)
+    return [name for _, name in sorted(highest, reverse=True)[:MAX_HOMES]]
 
 
 def _narrowed(block: int, ranking: Sequence[str], needed: int) -> list[str]:
--- a/src/cassiaford/policy/_prefix_placement.py
+++ b/src/cassiaford/policy/_prefix_placement.py
@@ -5,6 +5,7 @@
 Beliefs about caches and queues then choose by expected time.
 """
 
+import math
 import random
 from collections.abc import Iterable, Sequence
 
@@ -101,20 +102,23 @@
         """Return the usable backend server with the lowest expected cost."""
         prompt = PromptBlocks(request.chain, self.table)
         homes = self.home_finder.find(prompt, servers, now) if servers else Homes()
-        best, best_cost = None, 0.0
-        for view in self._candidates(prompt, homes, servers, request, rng):
-            load = self._load(view.name)
-            held = min(prompt.held(load.bit) * BLOCK_TOKENS, request.prompt_tokens)
-            missing = request.prompt_tokens - held
+        preferred = frozenset(homes.ranking[: homes.needed])
+        best, best_cost = None, math.inf
+        for view in self._candidates(prompt, homes, servers, request, now, rng):
+            name = view.name
+            load = self.loads.get(name) or self._load(name)
+            held = prompt.held(load.bit) * BLOCK_TOKENS
+            missing_s = max(0, request.prompt_tokens - held) / load.tokens_per_s
             wait_s = self._wait_s(load, view, now)
-            missing_s = missing / load.tokens_per_s
             cost = wait_s + RECOMPUTE_WEIGHT * missing_s + JITTER_S * rng.random()
-            if view.name in homes.ranking[: homes.needed]:
+            if name in preferred:
                 cost -= RECOMPUTE_WEIGHT * missing_s * _home_credit(load, now)
-            if best is None or cost < best_cost:
-                best = Placement(view.name, held, wait_s + missing_s)
-                best_cost = cost
-        return best
+            if cost < best_cost:
+                best, best_cost = (name, held, wait_s + missing_s), cost
+        if best is None:
+            return None
+        name, held, expected_s = best
+        return Placement(name, min(held, request.prompt_tokens), expected_s)
 
     def started(
         self, placement: Placement, request: PlacementRequest, now: float
@@ -249,7 +253,7 @@
     def _wait_s(self, load: ServerLoad, view: ServerView, now: float) -> float:
         wait_s = load.waiting_tokens(now) / load.tokens_per_s
         lacking = load.occupied(view.in_flight) + SPARE_SLOTS - view.slots
-        return wait_s + max(0, lacking) * SLOT_WAIT_S
+        return wait_s + lacking * SLOT_WAIT_S if lacking > 0 else wait_s
 
     def _candidates(
         self,
@@ -257,10 +261,11 @@
         homes: Homes,
         servers: Sequence[ServerView],
         request: PlacementRequest,
+        now: float,
         rng: random.Random,
     ) -> Iterable[ServerView]:
         if len(servers) > SCORE_ALL_SERVERS:
-            few = self._few_candidates(prompt, homes, servers, rng)
+            few = self._few_candidates(prompt, homes, servers, now, rng)
             usable = [view for view in few if _is_usable(view, request)]
             if usable:
                 return usable
@@ -271,15 +276,15 @@
         prompt: PromptBlocks,
         homes: Homes,
         servers: Sequence[ServerView],
+        now: float,
         rng: random.Random,
     ) -> Iterable[ServerView]:
         names = dict.fromkeys(homes.ranking[: homes.needed + SPARE_HOMES])
         names.update(dict.fromkeys(self._holders(prompt, rng)))
-        index = self.home_finder.indexes.index_of(servers)
-        found = {name: index.find(name, servers) for name in names}
+        found = self.home_finder.indexes.find_all(names, servers, now)
         for view in rng.sample(servers, SAMPLED_SERVERS):
             found[view.name] = view
-        return [view for view in found.values() if view is not None]
+        return found.values()
 
     def _holders(self, prompt: PromptBlocks, rng: random.Random) -> list[str]:
         names = []
--- a/src/cassiaford/policy/_server_index.py
+++ b/src/cassiaford/policy/_server_index.py
@@ -1,9 +1,11 @@
 """Finding the view of a backend server by its name, without a scan a call."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from cassiaford.policy._placement import ServerView
 
+# An index made this lately may stand for the set as it is now.
+FRESH_S = 5.0
 # Sets of backend servers, one for each model, whose order is remembered.
 MAX_KNOWN_SETS = 64
 
@@ -15,7 +17,8 @@
     against the sequence at hand, so an order that has changed does no harm.
     """
 
-    def __init__(self, servers: Sequence[ServerView]):
+    def __init__(self, servers: Sequence[ServerView], made_at: float):
+        self.made_at = made_at
         self.names = [view.name for view in servers]
         self.encoded = [name.encode() for name in self.names]
         self.positions = {name: number for number, name in enumerate(self.names)}
@@ -35,16 +38,34 @@
     def __init__(self):
         self._known = {}
 
-    def index_of(self, servers: Sequence[ServerView]) -> ServerIndex:
+    def index_of(self, servers: Sequence[ServerView], now: float) -> ServerIndex:
         """Return the index of a set, which may be that of an earlier state."""
         index = self._known.get(_signature(servers))
-        return self.renew(servers) if index is None else index
+        return self._renew(servers, now) if index is None else index
 
-    def renew(self, servers: Sequence[ServerView]) -> ServerIndex:
-        """Return an index of the set as it is now."""
+    def fresh_index_of(self, servers: Sequence[ServerView], now: float) -> ServerIndex:
+        """Return the index of a set as it is, or was a moment ago."""
+        index = self.index_of(servers, now)
+        if now - index.made_at < FRESH_S:
+            return index
+        return self._renew(servers, now)
+
+    def find_all(
+        self, names: Iterable[str], servers: Sequence[ServerView], now: float
+    ) -> dict[str, ServerView]:
+        """Return the views of those names that are in a set."""
+        index = self.index_of(servers, now)
+        found = {name: index.find(name, servers) for name in names}
+        if None not in found.values():
+            return found
+        index = self._renew(servers, now)
+        found = {name: index.find(name, servers) for name in found}
+        return {name: view for name, view in found.items() if view is not None}
+
+    def _renew(self, servers: Sequence[ServerView], now: float) -> ServerIndex:
         if len(self._known) >= MAX_KNOWN_SETS:
             self._known.clear()
-        index = ServerIndex(servers)
+        index = ServerIndex(servers, now)
         self._known[_signature(servers)] = index
         return index
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -92,6 +92,16 @@
         self.assertIsNone(self.place(request(), many))
         self.assertEqual(self.place(request(), [*many, *servers[3:]]).server, "free")
 
+    def test_home_is_found_whatever_the_order_of_the_servers(self):
+        names = [f"engine-{number}" for number in range(60)]
+        home = self.place(request(), views(names)).server
+        self.serve(request(), servers=views(names))
+        for seed in range(10):
+            shuffled = names[1:-1]
+            random.Random(seed).shuffle(shuffled)
+            servers = views([names[0], *shuffled, names[-1]])
+            self.assertEqual(self.place(request(), servers).server, home)
+
     def test_no_servers_and_no_chain(self):
         self.assertIsNone(self.policy.place(request(), [], 1.0, self.rng))
         for count in (1, 3, 40):
