--- a/src/cassiaford/policy/_prefix_placement.py
+++ b/src/cassiaford/policy/_prefix_placement.py
@@ -5,9 +5,9 @@
 Beliefs about caches and queues then choose by expected time.
 """
 
-import itertools
+import math
 import random
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 
 from cassiaford.engines import (
     BLOCK_BYTES,
@@ -100,26 +100,25 @@
         rng: random.Random,
     ) -> Placement | None:
         """Return the usable backend server with the lowest expected cost."""
-        views = {view.name: view for view in servers}
         prompt = PromptBlocks(request.chain, self.table)
-        homes = self.home_finder.find(prompt, views, now)
-        usable_homes = _usable_homes(homes, views, request)
-        best, best_cost = None, 0.0
-        for view in self._candidates(prompt, homes, views, request, rng):
-            load = self._load(view.name)
-            held = min(prompt.held(load.bit) * BLOCK_TOKENS, request.prompt_tokens)
+        homes = self.home_finder.find(prompt, servers, now) if servers else Homes()
+        preferred = frozenset(homes.ranking[: homes.needed])
+        best, best_cost = None, math.inf
+        for view in self._candidates(prompt, homes, servers, request, now, rng):
+            name = view.name
+            load = self.loads.get(name) or self._load(name)
+            held = prompt.held(load.bit) * BLOCK_TOKENS
+            missing_s = max(0, request.prompt_tokens - held) / load.tokens_per_s
             wait_s = self._wait_s(load, view, now)
-            missing = request.prompt_tokens - held
-            cost = wait_s + RECOMPUTE_WEIGHT * missing / load.tokens_per_s
-            cost += JITTER_S * rng.random()
-            if view.name in usable_homes:
-                credit = missing * _home_credit(load, now)
-                cost -= RECOMPUTE_WEIGHT * credit / load.tokens_per_s
-            if best is None or cost < best_cost:
-                expected_s = wait_s + missing / load.tokens_per_s
-                best = Placement(view.name, held, expected_s)
-                best_cost = cost
-        return best
+            cost = wait_s + RECOMPUTE_WEIGHT * missing_s + JITTER_S * rng.random()
+            if name in preferred:
+                cost -= RECOMPUTE_WEIGHT * missing_s * _home_credit(load, now)
+            if cost < best_cost:
+                best, best_cost = (name, held, wait_s + missing_s), cost
+        if best is None:
+            return None
+        name, held, expected_s = best
+        return Placement(name, min(held, request.prompt_tokens), expected_s)
 
     def started(
         self, placement: Placement, request: PlacementRequest, now: float
@@ -203,9 +202,8 @@
         self, request: PlacementRequest, servers: Sequence[ServerView], now: float
     ) -> Homes:
         """Return the homes of a request's prompt, whatever their state."""
-        views = {view.name: view for view in servers}
         prompt = PromptBlocks(request.chain, self.table)
-        return self.home_finder.find(prompt, views, now)
+        return self.home_finder.find(prompt, servers, now)
 
     def _load(self, server: str) -> ServerLoad:
         load = self.loads.get(server)
@@ -255,26 +253,38 @@
     def _wait_s(self, load: ServerLoad, view: ServerView, now: float) -> float:
         wait_s = load.waiting_tokens(now) / load.tokens_per_s
         lacking = load.occupied(view.in_flight) + SPARE_SLOTS - view.slots
-        return wait_s + max(0, lacking) * SLOT_WAIT_S
+        return wait_s + lacking * SLOT_WAIT_S if lacking > 0 else wait_s
 
     def _candidates(
         self,
         prompt: PromptBlocks,
         homes: Homes,
-        views: Mapping[str, ServerView],
+        servers: Sequence[ServerView],
         request: PlacementRequest,
+        now: float,
+        rng: random.Random,
+    ) -> Iterable[ServerView]:
+        if len(servers) > SCORE_ALL_SERVERS:
+            few = self._few_candidates(prompt, homes, servers, now, rng)
+            usable = [view for view in few if _is_usable(view, request)]
+            if usable:
+                return usable
+        return [view for view in servers if _is_usable(view, request)]
+
+    def _few_candidates(
+        self,
+        prompt: PromptBlocks,
+        homes: Homes,
+        servers: Sequence[ServerView],
+        now: float,
         rng: random.Random,
     ) -> Iterable[ServerView]:
-        if len(views) <= SCORE_ALL_SERVERS:
-            return [view for view in views.values() if _is_usable(view, request)]
         names = dict.fromkeys(homes.ranking[: homes.needed + SPARE_HOMES])
         names.update(dict.fromkeys(self._holders(prompt, rng)))
-        names.update(dict.fromkeys(rng.sample(tuple(views), SAMPLED_SERVERS)))
-        chosen = [views[name] for name in names if name in views]
-        usable = [view for view in chosen if _is_usable(view, request)]
-        if usable:
-            return usable
-        return [view for view in views.values() if _is_usable(view, request)]
+        found = self.home_finder.indexes.find_all(names, servers, now)
+        for view in rng.sample(servers, SAMPLED_SERVERS):
+            found[view.name] = view
+        return found.values()
 
     def _holders(self, prompt: PromptBlocks, rng: random.Random) -> list[str]:
         names = []
@@ -292,13 +302,6 @@
     return view.name not in request.excluded
 
 
-def _usable_homes(
-    homes: Homes, views: Mapping[str, ServerView], request: PlacementRequest
-) -> list[str]:
-    usable = (name for name in homes.ranking if _is_usable(views[name], request))
-    return list(itertools.islice(usable, homes.needed))
-
-
 def _home_credit(load: ServerLoad, now: float) -> float:
     if load.listening_since is None:
         return COLD_CREDIT
