--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""The slopes behind docs/CAPACITY.md: ``python -m bench.capacity``."""
