--- a/src/cassiaford/fleet/_claims.py
+++ b/src/cassiaford/fleet/_claims.py
@@ -9,7 +9,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cassiaford.fleet._claims_codec import decode_shard, encode_shard
+from cassiaford.fleet._claims_codec import (
+    decode_segment,
+    decode_shard,
+    encode_segment,
+    encode_shard,
+)
 from cassiaford.keyvalue import KeyValueError, KeyValueService, OutcomeUnknownError
 from cassiaford.logs import Event
 from cassiaford.pipeline._messages import Outcome
@@ -19,9 +24,12 @@
     Claim,
     ClaimAnswer,
     ClaimRecord,
+    ReadSegment,
     ReadShard,
     RecordedOutcome,
     ShardBook,
+    WriteSegment,
+    WriteShard,
     conflict_delay,
     ended_record,
     unavailable,
@@ -31,12 +39,17 @@
 
 SHARDS = 16
 SHARD_PREFIX = "claims/"
+SEGMENT_PREFIX = "sealed-claims/"
 # The longest time that a caller waits for the answer to its claim.
 CLAIM_TIMEOUT_S = 2.0
 # After a failed call, claims are refused without a call for this long.
 OUTAGE_RETRY_S = 0.5
 
 
+class MissingSegmentError(Exception):
+    """A sealed segment that a shard names is not in the key-value service."""
+
+
 class ClaimService(ABC):
     """Decides whether a request that may not be repeated may run."""
 
@@ -261,10 +274,19 @@
 
     def _perform(self, step):
         """Make one call; return whether a write lost to another instance's."""
-        if isinstance(step, ReadShard):
-            self._on_entry(self.registry.key_value.get(_key_of(self.name)))
-            return False
-        value = encode_shard(step.records)
+        match step:
+            case ReadShard():
+                self._on_entry(self.registry.key_value.get(_key_of(self.name)))
+            case WriteShard():
+                return self._write(step)
+            case ReadSegment(name=name):
+                self._read_segment(name)
+            case WriteSegment():
+                self._write_segment(step)
+        return False
+
+    def _write(self, step):
+        value = encode_shard(step.state)
         key = _key_of(self.name)
         result = self.registry.key_value.compare_and_swap(key, value, step.version)
         if not result.swapped:
@@ -275,10 +297,26 @@
         return False
 
     def _on_entry(self, entry):
-        records = decode_shard(entry.value)
+        state = decode_shard(entry.value)
         with self.condition:
             wall = self.registry.wall_clock()
-            self._answer(self.book.on_read(records, entry.version, wall))
+            self._answer(self.book.on_read(state, entry.version, wall))
+
+    def _read_segment(self, name):
+        entry = self.registry.key_value.get(f"{SEGMENT_PREFIX}{name}")
+        if entry.value is None:
+            raise MissingSegmentError(name)
+        records = decode_segment(entry.value)
+        with self.condition:
+            self._answer(self.book.on_segment_read(name, records))
+
+    def _write_segment(self, step):
+        value = encode_segment(step.records)
+        lease = self.registry.key_value.grant_lease(step.ttl_s)
+        key = f"{SEGMENT_PREFIX}{step.name}"
+        self.registry.key_value.compare_and_swap(key, value, 0, lease)
+        with self.condition:
+            self.book.on_segment_written()
 
     def _on_unknown(self):
         """Try the write again; the second time, take the service to be down."""
--- a/src/cassiaford/fleet/_claims_codec.py
+++ b/src/cassiaford/fleet/_claims_codec.py
@@ -1,24 +1,40 @@
 """The form of a shard of claims in the key-value service.
 
-One claim a line, each a JSON array, so that operators can read a shard and a
-later release can append fields.
+A line of sealed segments, then one claim a line, each a JSON array, so that
+operators can read a shard and a later release can append fields.
 """
 
 import base64
 import json
 from collections.abc import Mapping
 
-from cassiaford.policy import ClaimRecord, ClaimState
+from cassiaford.policy import ClaimRecord, ClaimState, Sealed, ShardState
 from cassiaford.verdict import Verdict
 
 
-def encode_shard(records: Mapping[str, ClaimRecord]) -> bytes:
-    """Return the value of a shard."""
+def encode_shard(state: ShardState) -> bytes:
+    """Return the value of a shard: the sealed segments, then the records."""
+    sealed = [[segment.name, segment.newest] for segment in state.sealed]
+    head = json.dumps(sealed, separators=(",", ":")).encode()
+    return head + b"\n" + encode_segment(state.records)
+
+
+def decode_shard(value: bytes | None) -> ShardState:
+    """Return what a shard's value holds."""
+    if not value:
+        return ShardState()
+    head, _, rest = value.partition(b"\n")
+    sealed = tuple(Sealed(*fields[:2]) for fields in json.loads(head))
+    return ShardState(decode_segment(rest), sealed)
+
+
+def encode_segment(records: Mapping[str, ClaimRecord]) -> bytes:
+    """Return the value of a segment."""
     return "\n".join(_line(record) for record in records.values()).encode()
 
 
-def decode_shard(value: bytes | None) -> dict[str, ClaimRecord]:
-    """Return the records in a shard's value, by key."""
+def decode_segment(value: bytes) -> dict[str, ClaimRecord]:
+    """Return the records in a segment's value, by key."""
     if not value:
         return {}
     records = [_record(json.loads(line)) for line in value.split(b"\n")]
--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -7,12 +7,15 @@
 from cassiaford.policy._buckets import (
     Bucket,
 )
+from cassiaford.policy._claim_segments import Sealed, ShardState
 from cassiaford.policy._claim_shard import (
     GROUP_WINDOW_S,
     OUTCOME_WINDOW_S,
+    ReadSegment,
     ReadShard,
     Settled,
     ShardBook,
+    WriteSegment,
     WriteShard,
     conflict_delay,
 )
@@ -53,6 +56,10 @@
 )
 
 __all__ = [
+    "ReadSegment",
+    "Sealed",
+    "ShardState",
+    "WriteSegment",
     "Ask",
     "Bucket",
     "Claim",
--- a/src/cassiaford/policy/_claim_shard.py
+++ b/src/cassiaford/policy/_claim_shard.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
+from cassiaford.policy._claim_segments import Sealed, SegmentIndex, ShardState
 from cassiaford.policy._claims import (
     CLOCK_SKEW_S,
     RETENTION_S,
@@ -32,6 +33,14 @@
 CONFLICT_DELAY_S = 0.004
 MAX_CONFLICT_DELAY_S = 0.064
 MAX_QUEUED_OUTCOMES = 10_000
+# Ended claims of this size together are sealed in a segment, which the service
+# deletes once all of its records have expired everywhere.
+SEAL_BYTES = 48_000
+SEGMENT_TTL_S = RETENTION_S + 3 * CLOCK_SKEW_S
+# After a write that lost to another instance's, the shard is read before each
+# write for a while, unless it was read this short a time ago.
+CONTENTION_MEMORY_S = 10.0
+FRESH_S = 0.01
 
 
 @dataclass(frozen=True)
@@ -42,6 +51,9 @@
     answer: ClaimAnswer
 
 
+Answers = tuple[Settled, ...]
+
+
 @dataclass(frozen=True)
 class ReadShard:
     """Asks the shell to read the shard."""
@@ -51,28 +63,60 @@
 class WriteShard:
     """Asks the shell to write the shard by compare-and-swap."""
 
-    records: Mapping[str, ClaimRecord]
+    state: ShardState
     version: int
 
 
+@dataclass(frozen=True)
+class ReadSegment:
+    """Asks the shell to read a sealed segment."""
+
+    name: str
+
+
+@dataclass(frozen=True)
+class WriteSegment:
+    """Asks the shell to create a segment, to be deleted after `ttl_s`."""
+
+    name: str
+    records: Mapping[str, ClaimRecord]
+    ttl_s: float = SEGMENT_TTL_S
+
+
+Step = ReadShard | WriteShard | ReadSegment | WriteSegment
+
+
 class ShardBook:
     """The claims of one shard, as one instance sees and changes them.
 
-    The shell calls `next_step`, performs the read or write that it returns,
-    and reports what came of it. Every report returns the claims it settled.
+    The shell calls `next_step`, performs the call that it returns, and reports
+    what came of it. Most reports return the claims they settled.
     """
 
-    def __init__(self, name: str, instance: str, incarnation: int):
+    def __init__(
+        self,
+        name: str,
+        instance: str,
+        incarnation: int,
+        seal_bytes: int = SEAL_BYTES,
+    ):
         self.name = name
+        self.author = f"{instance}.{incarnation}"
+        self.seal_bytes = seal_bytes
         self.version = -1
         self.records = {}
+        self.segments = SegmentIndex()
         self.pending = {}
         self.changes = {}
         self.active = set()
         self.gone = {instance: incarnation - 1}
-        self._written = None
+        self._step = None
+        self._seal = None
+        self._seals = 0
         self._unsure = set()
         self._unsure_version = None
+        self._known_at = 0.0
+        self._contended_until = 0.0
 
     def submit(self, record: ClaimRecord, now: float) -> Settled | None:
         """Add a claim; return its answer if no call is needed for it."""
@@ -104,46 +148,51 @@
         self.changes[record.nonce] = record
         return True
 
-    def next_step(self, wall: float) -> ReadShard | WriteShard | None:
+    def next_step(self, wall: float) -> Step | None:
         """Return what to do for the claims and outcomes that wait, if any."""
-        if not self.pending and not self.changes:
-            return None
-        if self.version < 0:
-            return ReadShard()
-        records = self._wanted(wall)
-        # A write with an unknown result may be under way still: only a later
-        # version makes it void.
-        if records == self.records and self._unsure_version != self.version:
-            if self.pending:
-                return ReadShard()
-            self.changes.clear()
-            return None
-        self._written = records
-        return WriteShard(records, self.version)
+        self._step = self._choose_step(wall)
+        return self._step
 
-    def on_read(
-        self, records: Mapping[str, ClaimRecord], version: int, wall: float
-    ) -> tuple[Settled, ...]:
+    def on_read(self, state: ShardState, version: int, wall: float) -> Answers:
         """Take in the shard as read, or as told by a write that lost."""
-        self._take(records, version)
+        if isinstance(self._step, WriteShard):
+            self._contended_until = wall + CONTENTION_MEMORY_S
+        self._known_at = wall
+        self._take(state, version)
         return self._settle_standing() + self._settle_unclaimable(wall)
 
-    def on_written(self, version: int) -> tuple[Settled, ...]:
+    def on_written(self, version: int) -> Answers:
         """Take note that the last write took effect."""
-        self._take(self._written, version)
+        state = self._step.state
+        self._take(state, version)
         return self._settle_standing()
 
+    def on_segment_read(self, name: str, records: Mapping[str, ClaimRecord]) -> Answers:
+        """Take in a sealed segment."""
+        self._step = None
+        self.segments.load(name, records)
+        return self._settle_standing()
+
+    def on_segment_written(self) -> None:
+        """Take note that the segment was created; the shard names it next."""
+        step = self._step
+        self._step = None
+        self.segments.load(step.name, step.records)
+        newest = max(record.written_at for record in step.records.values())
+        self._seal = (Sealed(step.name, newest), step.records)
+
     def on_unknown(self) -> None:
         """Take note that the last write may have taken effect, or may yet."""
-        self._unsure_version = self.version
-        self._unsure.update(self.pending)
-        self._written = None
+        if isinstance(self._step, WriteShard):
+            self._unsure_version = self.version
+            self._unsure.update(self.pending)
+        self._step = None
 
     def on_not_written(self) -> None:
         """Take note that the last call failed and had no effect."""
-        self._written = None
+        self._step = None
 
-    def refuse_all(self, retry_after_s: float) -> tuple[Settled, ...]:
+    def refuse_all(self, retry_after_s: float) -> Answers:
         """Refuse what waits: the service is down, and nothing has been sent."""
         return tuple(self.refuse(nonce, retry_after_s) for nonce in list(self.pending))
 
@@ -160,9 +209,65 @@
         """Take note that an incarnation, and any before it, runs no more."""
         self.gone[instance] = max(incarnation, self.gone.get(instance, 0))
 
-    def _take(self, records, version):
-        self.records = dict(records)
-        self._written = None
+    def _choose_step(self, wall):
+        if not self.pending and not self.changes:
+            return None
+        if self.version < 0 or self._is_outdated(wall):
+            return ReadShard()
+        to_read = self._segment_to_read()
+        if to_read is not None:
+            return ReadSegment(to_read)
+        segment = self._segment_to_write()
+        if segment is not None:
+            return segment
+        state = self._wanted(wall)
+        # A write with an unknown result may be under way still: only a later
+        # version makes it void.
+        if state == self._state() and self._unsure_version != self.version:
+            if self.pending:
+                return ReadShard()
+            self.changes.clear()
+            return None
+        return WriteShard(state, self.version)
+
+    def _is_outdated(self, wall):
+        """Return whether a read is due, as a write would probably lose.
+
+        Reads cost the service less than lost writes do.
+        """
+        return wall < self._contended_until and wall > self._known_at + FRESH_S
+
+    def _segment_to_read(self):
+        for claim in self.pending.values():
+            if claim.record.key not in self.records:
+                name = self.segments.to_read(claim.record.key)
+                if name is not None:
+                    return name
+        return None
+
+    def _segment_to_write(self):
+        """Return the segment to create, if the ended claims are many."""
+        if self._seal is not None:
+            return None
+        ended = {
+            key: record
+            for key, record in self.records.items()
+            if record.state is ClaimState.ENDED
+        }
+        if sum(record.size for record in ended.values()) < self.seal_bytes:
+            return None
+        self._seals += 1
+        return WriteSegment(f"{self.name}/{self.author}.{self._seals}", ended)
+
+    def _state(self):
+        return ShardState(self.records, self.segments.sealed)
+
+    def _take(self, state, version):
+        if isinstance(self._step, WriteShard) and state is self._step.state:
+            self._seal = None
+        self._step = None
+        self.records = dict(state.records)
+        self.segments.replace(state.sealed)
         if version != self._unsure_version:
             self._unsure_version = None
             self._unsure.clear()
@@ -179,7 +284,11 @@
         for change in self.changes.values():
             if change.key == record.key and change.verdict is not Verdict.NOT_RUN:
                 return change
-        standing = self.records.get(record.key)
+        return self._standing(record)
+
+    def _standing(self, record):
+        """Return what is known to stand under a claim's key, unless expired."""
+        standing = self.records.get(record.key) or self.segments.find(record.key)
         if standing is not None and standing.expired(record.written_at):
             return None
         return standing
@@ -191,33 +300,53 @@
         standing = self.records.get(record.key)
         if standing is not None and standing.nonce == record.nonce:
             return True
-        return record.nonce in self._unsure or self._written is not None
+        under_way = isinstance(self._step, WriteShard)
+        return record.nonce in self._unsure or under_way
 
     def _wanted(self, wall):
-        """Return the shard's records with every change that it admits."""
+        """Return the shard's state with every change that it admits."""
         records = {
             key: record
             for key, record in self.records.items()
             if not record.expired(wall)
         }
+        sealed = tuple(s for s in self.segments.sealed if not s.expired(wall))
+        if self._seal is not None:
+            sealed = self._without_sealed(records, sealed)
         size = sum(record.size for record in records.values())
         for change in self.changes.values():
             size += _apply(records, change, size)
         for claim in self.pending.values():
-            if claim.record.key not in records and size < CLAIM_VALUE_BYTES:
+            if size < CLAIM_VALUE_BYTES and self._is_free(claim.record, records):
                 records[claim.record.key] = claim.record
                 size += claim.record.size
-        return records
+        return ShardState(records, sealed)
+
+    def _without_sealed(self, records, sealed):
+        """Move the records of a new segment out of the shard."""
+        segment, moved = self._seal
+        standing = [key for key, record in moved.items() if records.get(key) == record]
+        for key in standing:
+            del records[key]
+        if not standing:
+            # Another instance has sealed them; this segment is left to lapse.
+            self._seal = None
+            return sealed
+        return (*sealed, segment)
+
+    def _is_free(self, record, records):
+        if record.key in records or self.segments.to_read(record.key) is not None:
+            return False
+        sealed = self.segments.find(record.key)
+        return sealed is None or sealed.expired(record.written_at)
 
     def _settle_standing(self):
         """Answer the pending claims whose key stands in the shard."""
         settled = []
         for nonce, claim in list(self.pending.items()):
-            standing = self.records.get(claim.record.key)
+            standing = self._standing(claim.record)
             if standing is None or standing.nonce in self.changes:
                 continue
-            if standing.expired(claim.record.written_at):
-                continue
             del self.pending[nonce]
             if standing.nonce == nonce:
                 self.active.add(nonce)
@@ -229,8 +358,13 @@
 
     def _settle_unclaimable(self, wall):
         """Refuse the pending claims for which the shard has no room."""
-        claimable = self._wanted(wall)
-        nonces = [n for n, c in self.pending.items() if c.record.key not in claimable]
+        claimable = self._wanted(wall).records
+        nonces = [
+            nonce
+            for nonce, claim in self.pending.items()
+            if claim.record.key not in claimable
+            and self.segments.to_read(claim.record.key) is None
+        ]
         for nonce in nonces:
             self.abandon(nonce)
         refusal = unavailable(self._next_expiry(wall))
