--- a/src/cassiaford/fleet/_fleet.py
+++ b/src/cassiaford/fleet/_fleet.py
@@ -8,6 +8,7 @@
     StoreLimits,
     create_configuration_store,
 )
+from cassiaford.fleet._departures import DepartureWatcher, OnDeparture
 from cassiaford.fleet._gate import FrameGate, Identity
 from cassiaford.fleet._log import ConfigurationLog
 from cassiaford.fleet._membership import (
@@ -36,12 +37,14 @@
         transport: PeerTransport,
         configuration: ConfigurationStore,
         instance_list: InstanceListPoller,
+        departures: DepartureWatcher,
     ):
         self.sockets = sockets
         self.runner = runner
         self.transport = transport
         self.configuration = configuration
         self.instance_list = instance_list
+        self.departures = departures
 
     def start(self) -> None:
         """Begin to exchange messages and to follow the configuration."""
@@ -66,6 +69,10 @@
         self.runner.stop()
         self.sockets.stop()
 
+    def on_departure(self, callback: OnDeparture) -> None:
+        """Have a callback called for each incarnation that is certainly gone."""
+        self.departures.callbacks.append(callback)
+
     def members(self) -> tuple[Member, ...]:
         """Return the live members, this instance first."""
         return self.runner.members()
@@ -138,7 +145,10 @@
     runner.listeners.append(_ConfigurationListener(store, runner))
     sockets.every(FRESHNESS_CHECK_S, lambda: store.note_freshness(clock()))
     poller = InstanceListPoller(instance_list.fetch, runner, journal)
-    return Fleet(sockets, runner, transport, store, poller)
+    departures = DepartureWatcher(settings.key_value.list_lag_s, clock)
+    runner.listeners.append(departures)
+    poller.on_answer.append(departures.listed)
+    return Fleet(sockets, runner, transport, store, poller, departures)
 
 
 def _own_member(settings, incarnation, peer_address) -> Member:
--- a/src/cassiaford/fleet/_membership.py
+++ b/src/cassiaford/fleet/_membership.py
@@ -14,6 +14,7 @@
     MemberChanged,
     Membership,
     MemberState,
+    MemberUpdate,
     PeerHeard,
     SendMessage,
     Superseded,
@@ -38,6 +39,9 @@
     def peer_gone(self, instance: str) -> None:
         """Take note that a peer is dead or has left."""
 
+    def member_changed(self, update: MemberUpdate) -> None:
+        """Take note of what is newly believed of a member."""
+
 
 class MembershipRunner:
     """Keeps the table of members of one instance up to date."""
@@ -142,8 +146,9 @@
         self.journal.record(
             event, peer=member.instance, peer_incarnation=member.incarnation
         )
-        if update.state >= MemberState.DEAD:
-            for listener in self.listeners:
+        for listener in self.listeners:
+            listener.member_changed(update)
+            if update.state >= MemberState.DEAD:
                 listener.peer_gone(member.instance)
 
     def _report_superseded(self, incarnation):
@@ -165,6 +170,7 @@
         self.runner = runner
         self.journal = journal
         self.leaving: frozenset[tuple[str, int]] = frozenset()
+        self.on_answer: list[Callable[[Sequence[InstanceRecord]], None]] = []
         self._answers = True
         self._stopping = threading.Event()
         self._thread = threading.Thread(
@@ -195,6 +201,8 @@
             return
         self._answers = True
         self.runner.learn(records)
+        for callback in self.on_answer:
+            callback(records)
         self.leaving = frozenset(
             (record.instance, record.incarnation)
             for record in records
--- a/src/cassiaford/instance/_instance.py
+++ b/src/cassiaford/instance/_instance.py
@@ -5,7 +5,7 @@
 import time
 
 from cassiaford.engines import create_engine_control, create_poller
-from cassiaford.fleet import create_claims, create_fleet
+from cassiaford.fleet import create_claims, create_fleet, create_rate_limiter
 from cassiaford.instance._acceptance import Acceptor
 from cassiaford.instance._handler import RequestHandler
 from cassiaford.instance._http import CallerServer
@@ -16,7 +16,6 @@
 from cassiaford.pipeline import (
     AdmitFilter,
     AuthenticateFilter,
-    Limiter,
     ReceiveFilter,
     create_dispatcher,
 )
@@ -28,7 +27,6 @@
 POLL_INTERVAL_S = 0.5
 POLL_TIMEOUT_S = 1.0
 READY_CHECK_S = 0.02
-MEMBER_CHECK_S = 0.5
 STOP_TIMEOUT_S = 5.0
 
 
@@ -49,7 +47,6 @@
         self.is_ready = False
         self.is_draining = False
         self.cut_early = 0
-        self.known_members = set()
         self._create_fleet()
         self._create_dispatch()
         self._create_front()
@@ -86,9 +83,9 @@
         """Start all parts; return when the instance is ready to serve."""
         self.journal.record(Event.INSTANCE_STARTED, incarnation=self.incarnation)
         self.fleet.start()
+        self.limiter.start()
         self.dispatcher.start()
         self.poller.start()
-        threading.Thread(target=self._watch_members, daemon=True).start()
         self._wait_for_configuration()
         self.server.start_serving()
         self.is_ready = True
@@ -126,6 +123,8 @@
         self.poller.stop()
         self.dispatcher.stop(STOP_TIMEOUT_S)
         self.claims.stop(STOP_TIMEOUT_S)
+        self.limiter.leave()
+        self.limiter.stop()
         self.fleet.stop()
 
     def _create_fleet(self):
@@ -142,8 +141,16 @@
         self.claims = create_claims(
             key_value, self.journal, settings.instance, self.incarnation
         )
-        self.limiter = _Unmetered()
+        self.limiter = create_rate_limiter(
+            key_value,
+            self.fleet.transport,
+            self.journal,
+            settings.instance,
+            self.incarnation,
+        )
         self.fleet.configuration.on_change(self._configuration_changed)
+        self.fleet.on_departure(self.claims.mark_gone)
+        self.fleet.on_departure(self.limiter.mark_gone)
 
     def _create_dispatch(self):
         settings = self.settings
@@ -194,32 +201,16 @@
 
     def _configuration_changed(self, old, new):
         self.journal.revision = new.revision
+        self.limiter.configure(new)
 
     def _wait_for_configuration(self):
         while not self.fleet.configuration.ready() and not self.stopping.is_set():
             self.stopping.wait(READY_CHECK_S)
 
-    def _watch_members(self):
-        while not self.stopping.wait(MEMBER_CHECK_S):
-            live = {(m.instance, m.incarnation) for m in self.members()}
-            for instance, incarnation in self.known_members - live:
-                self.claims.mark_gone(instance, incarnation)
-            self.known_members = live
-
     def _server_failed(self, text):
         self.journal.record(Event.THREAD_FAILED, part="http", text=text)
 
 
-class _Unmetered(Limiter):
-    """Admits everything, until the rate shares are wired in."""
-
-    def charge(self, customer, tokens):
-        """Admit."""
-
-    def refund(self, customer_name, tokens):
-        """Take nothing back."""
-
-
 def create_instance(settings: Settings) -> Instance:
     """Return an instance with these settings, not yet started.
 
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -59,6 +59,10 @@
     PEER_MESSAGE_DROPPED = (1406, Level.WARNING, "message from peer dropped")
     INSTANCE_SUPERSEDED = (1407, Level.ERROR, "newer process has this name")
     INSTANCE_LIST_LOST = (1408, Level.WARNING, "list of instances does not answer")
+    # 15xx: rates.
+    SHARES_SUSPENDED = (1501, Level.WARNING, "rate shares unused after a pause")
+    SHARES_RESUMED = (1502, Level.INFO, "rate shares in use again")
+    LEDGER_WRITTEN = (1503, Level.INFO, "ledger of rate shares written")
 
     # 16xx: claims.
     CLAIM_OUTCOME_LOST = (1601, Level.WARNING, "outcome of a claim not recorded")
--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -4,12 +4,18 @@
 `random.Random`; messages go in and actions come out as frozen data classes.
 """
 
+from cassiaford.policy._buckets import (
+    Bucket,
+)
+from cassiaford.policy._claim_segments import Sealed, ShardState
 from cassiaford.policy._claim_shard import (
     GROUP_WINDOW_S,
     OUTCOME_WINDOW_S,
+    ReadSegment,
     ReadShard,
     Settled,
     ShardBook,
+    WriteSegment,
     WriteShard,
     conflict_delay,
 )
@@ -22,6 +28,10 @@
     ended_record,
     unavailable,
 )
+from cassiaford.policy._departures import (
+    Departure,
+    Departures,
+)
 from cassiaford.policy._fair_queue import (
     FairQueue,
     create_fair_queue,
@@ -47,6 +57,11 @@
     SendMessage,
     Superseded,
 )
+from cassiaford.policy._owners import (
+    Holder,
+    Ledger,
+    OwnerTable,
+)
 from cassiaford.policy._placement import (
     Placement,
     PlacementPolicy,
@@ -62,6 +77,10 @@
     RequestQueue,
     Ticket,
 )
+from cassiaford.policy._resumption import (
+    BrokenStream,
+    may_resume,
+)
 from cassiaford.policy._retries import (
     MAX_ATTEMPTS,
     FailedRequest,
@@ -77,17 +96,46 @@
 from cassiaford.policy._server_health import (
     ServerHealth,
 )
+from cassiaford.policy._share import (
+    Limit,
+)
+from cassiaford.policy._share_messages import (
+    Ask,
+    Grant,
+    Poll,
+    Report,
+    Returned,
+    Send,
+    ShareMessage,
+)
+from cassiaford.policy._shares import (
+    ShareBook,
+)
 
 __all__ = [
+    "ReadSegment",
+    "Sealed",
+    "ShardState",
+    "WriteSegment",
+    "Ask",
+    "BrokenStream",
+    "Bucket",
     "Claim",
     "ClaimAnswer",
     "ClaimRecord",
     "ClaimState",
+    "Departure",
+    "Departures",
+    "ENTRIES_MAX_AGE_S",
     "FailedRequest",
     "Failure",
     "FairQueue",
     "FifoQueue",
     "GROUP_WINDOW_S",
+    "Grant",
+    "Holder",
+    "Ledger",
+    "Limit",
     "MAX_ATTEMPTS",
     "Member",
     "MemberChanged",
@@ -97,23 +145,30 @@
     "MembershipMessage",
     "MessageKind",
     "OUTCOME_WINDOW_S",
+    "OwnerTable",
     "PeerHeard",
     "Placement",
     "PlacementPolicy",
     "PlacementRequest",
+    "Poll",
     "PrefixPlacement",
     "ReadShard",
     "RecordedOutcome",
+    "Report",
     "RequestQueue",
     "RetryBudget",
     "RetryDecision",
+    "Returned",
     "RevisionChange",
     "RevisionPolicy",
+    "Send",
     "SendMessage",
     "ServerHealth",
     "ServerView",
     "Settled",
     "ShardBook",
+    "ShareBook",
+    "ShareMessage",
     "Superseded",
     "Ticket",
     "WriteShard",
@@ -122,7 +177,7 @@
     "create_fair_queue",
     "create_placement",
     "ended_record",
-    "ENTRIES_MAX_AGE_S",
+    "may_resume",
     "next_configuration",
     "rank_entries",
     "unavailable",
