--- a/src/cassiaford/fleet/__init__.py
+++ b/src/cassiaford/fleet/__init__.py
@@ -7,6 +7,7 @@
     shard_of,
 )
 from cassiaford.fleet._rates import Limiter, RateLimiter, create_rate_limiter
+from cassiaford.fleet._suspects import SuspectRegistry, create_suspects
 from cassiaford.fleet._transport import Channel, Member, PeerMessage, PeerTransport
 
 __all__ = [
@@ -15,10 +16,12 @@
     "ClaimService",
     "Limiter",
     "Member",
-    "RateLimiter",
-    "create_rate_limiter",
     "PeerMessage",
     "PeerTransport",
+    "RateLimiter",
+    "SuspectRegistry",
     "create_claims",
+    "create_rate_limiter",
+    "create_suspects",
     "shard_of",
 ]
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -50,6 +50,9 @@
     # 16xx: claims.
     CLAIM_OUTCOME_LOST = (1601, Level.WARNING, "outcome of a claim not recorded")
 
+    # 17xx: requests that crash servers.
+    SERVER_CRASH_REPORTED = (1711, Level.WARNING, "requests suspect after a crash")
+
     # 18xx: the key-value service.
     KEY_VALUE_LOST = (1801, Level.WARNING, "key-value service does not answer")
     KEY_VALUE_BACK = (1802, Level.INFO, "key-value service answers again")
