--- a/src/cassiaford/fleet/__init__.py
+++ b/src/cassiaford/fleet/__init__.py
@@ -26,6 +26,10 @@
     RateLimiter,
     create_rate_limiter,
 )
+from cassiaford.fleet._suspects import (
+    SuspectRegistry,
+    create_suspects,
+)
 from cassiaford.fleet._transport import (
     Channel,
     Member,
@@ -51,9 +55,11 @@
     "PeerTransport",
     "RateLimiter",
     "RequestTransport",
+    "SuspectRegistry",
     "UnknownOutcomeError",
     "create_claims",
     "create_fleet",
     "create_rate_limiter",
+    "create_suspects",
     "shard_of",
 ]
--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -7,7 +7,10 @@
 from cassiaford.policy._buckets import (
     Bucket,
 )
-from cassiaford.policy._claim_segments import Sealed, ShardState
+from cassiaford.policy._claim_segments import (
+    Sealed,
+    ShardState,
+)
 from cassiaford.policy._claim_shard import (
     GROUP_WINDOW_S,
     OUTCOME_WINDOW_S,
@@ -111,12 +114,16 @@
 from cassiaford.policy._shares import (
     ShareBook,
 )
+from cassiaford.policy._suspects import (
+    Cleared,
+    Crash,
+    CrashReport,
+    SuspectBook,
+    SuspectMessage,
+    Wanted,
+)
 
 __all__ = [
-    "ReadSegment",
-    "Sealed",
-    "ShardState",
-    "WriteSegment",
     "Ask",
     "BrokenStream",
     "Bucket",
@@ -124,6 +131,9 @@
     "ClaimAnswer",
     "ClaimRecord",
     "ClaimState",
+    "Cleared",
+    "Crash",
+    "CrashReport",
     "Departure",
     "Departures",
     "ENTRIES_MAX_AGE_S",
@@ -152,6 +162,7 @@
     "PlacementRequest",
     "Poll",
     "PrefixPlacement",
+    "ReadSegment",
     "ReadShard",
     "RecordedOutcome",
     "Report",
@@ -161,16 +172,22 @@
     "Returned",
     "RevisionChange",
     "RevisionPolicy",
+    "Sealed",
     "Send",
     "SendMessage",
     "ServerHealth",
     "ServerView",
     "Settled",
     "ShardBook",
+    "ShardState",
     "ShareBook",
     "ShareMessage",
     "Superseded",
+    "SuspectBook",
+    "SuspectMessage",
     "Ticket",
+    "Wanted",
+    "WriteSegment",
     "WriteShard",
     "choose_instance",
     "conflict_delay",
