--- a/src/cassiaford/policy/_retries.py
+++ b/src/cassiaford/policy/_retries.py
@@ -11,7 +11,9 @@
 # instance retry at all.
 RETRY_SHARE = 0.1
 RETRY_FLOOR_PER_S = 1.0
-MAX_SAVED_RETRIES = 20.0
+# As many as a backend server runs at once by default, so that a server's crash
+# loses no request that may be repeated, also on an instance that just started.
+CRASH_RESERVE = 32.0
 
 
 class Failure(enum.Enum):
@@ -162,15 +164,16 @@
 class RetryBudget:
     """Allows retries as a share of recent first tries, plus a small floor.
 
-    Failures then add at most that share to the load, however many there are:
-    a retry storm needs retries that grow with failures. The idea is that of
-    the retry budgets in Finagle.
+    A reserve, there from the start, covers the requests that a crashed server
+    was running. In the long run failures add at most that share to the load,
+    however many there are: a retry storm needs retries that grow with
+    failures. The idea is that of the retry budgets in Finagle.
 
     Examples
     --------
     >>> budget = RetryBudget(now=0.0)
     >>> budget.saved
-    1.0
+    32.0
     """
 
     def __init__(
@@ -178,12 +181,12 @@
         now: float,
         share: float = RETRY_SHARE,
         floor_per_s: float = RETRY_FLOOR_PER_S,
-        most: float = MAX_SAVED_RETRIES,
+        reserve: float = CRASH_RESERVE,
     ):
         self.share = share
         self.floor_per_s = floor_per_s
-        self.most = most
-        self.saved = min(floor_per_s, most)
+        self.most = reserve
+        self.saved = reserve
         self.updated_at = now
 
     def first_try(self, now: float) -> None:
