--- a/standins/engine.py
+++ b/standins/engine.py
@@ -32,6 +32,7 @@
     ("Content-Type", "text/event-stream"),
     ("Transfer-Encoding", "chunked"),
 )
+ECHOED_HEADERS = ("x-request-id", "x-resume-offset")
 COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
 
 
@@ -125,13 +126,13 @@
         job.connections += 1
         try:
             if job.work.streaming:
-                await _stream(job, request.connection, offset)
+                await _stream(job, request, offset)
                 return None
             await _either(job.ended, request.connection.closed)
             if job.cancelled:
                 request.connection.abort()
                 return None
-            return json_response(job.whole_answer())
+            return json_response(job.whole_answer(), 200, _echo(request))
         finally:
             self._release(job)
 
@@ -220,9 +221,10 @@
     )
 
 
-async def _stream(job, connection, offset):
+async def _stream(job, request, offset):
     """Send the events from an offset on, until the job or connection ends."""
-    connection.write_head(200, STREAM_HEADERS)
+    connection = request.connection
+    connection.write_head(200, (*STREAM_HEADERS, *_echo(request)))
     for event in job.events[offset:]:
         connection.write_chunk(event)
 
@@ -241,6 +243,15 @@
         connection.write_chunk(b"")
 
 
+def _echo(request):
+    """Return the headers that say which request is answered, and from where."""
+    return tuple(
+        (name, request.headers[name])
+        for name in ECHOED_HEADERS
+        if name in request.headers
+    )
+
+
 async def _either(*events):
     """Wait until one of some events is set."""
     tasks = [asyncio.ensure_future(event.wait()) for event in events]
