--- a/src/cassiaford/pipeline/_answer_connection.py
+++ b/src/cassiaford/pipeline/_answer_connection.py
@@ -13,6 +13,10 @@
 class AttemptListener(AnswerListener):
     """Hears of one attempt's answer and of its failure."""
 
+    @abstractmethod
+    def parse_failed(self, error: httptools.HttpParserError) -> None:
+        """Take note of why an answer could not be read."""
+
     @abstractmethod
     def attempt_failed(
         self, failure: Failure, retry_after_s: float | None = None
@@ -71,7 +75,8 @@
         self.last_byte_at = self.clock()
         try:
             self.reader.feed(data)
-        except httptools.HttpParserError:
+        except httptools.HttpParserError as error:
+            self.listener.parse_failed(error)
             self._fail(Failure.BROKEN_ANSWER)
 
     def eof_received(self) -> None:
--- a/src/cassiaford/pipeline/_caller.py
+++ b/src/cassiaford/pipeline/_caller.py
@@ -108,6 +108,11 @@
             self.finished = True
             self.transport.close()
 
+    @property
+    def unread_bytes(self) -> int:
+        """The bytes that still wait to be sent."""
+        return self.transport.get_write_buffer_size() if self.transport else 0
+
     def abort(self) -> None:
         """Close at once and drop what is not yet written."""
         self.finished = True
--- a/src/cassiaford/pipeline/_dispatch.py
+++ b/src/cassiaford/pipeline/_dispatch.py
@@ -116,7 +116,8 @@
             self.running = False
             self._changed.notify_all()
         if self.relay.thread.is_alive():
-            self.relay.cut_all(timeout_s)
+            with contextlib.suppress(TimeoutError):
+                self.relay.cut_all(timeout_s)
         for thread in self.threads:
             thread.join(max(0.0, give_up_at - time.monotonic()))
         self.relay.stop(max(0.0, give_up_at - time.monotonic()))
@@ -262,6 +263,10 @@
             self.jobs.discard(job)
             self._changed.notify_all()
 
+    def fault(self, error: BaseException | None) -> None:
+        """Record an error that nothing was prepared for."""
+        self.journal.record(Event.THREAD_FAILED, error=type(error).__name__)
+
     # Dispatch threads.
 
     def _dispatch(self):
@@ -271,7 +276,7 @@
                     job = self._next_job()
             except Exception as error:
                 # The job stays where it is and is refused at its deadline.
-                self._record_fault(error)
+                self.fault(error)
                 time.sleep(QUEUE_INTERVAL_S)
                 continue
             if job is None:
@@ -307,14 +312,11 @@
         except ForwardError as error:
             self.relay.attempt_failed(job, error.failure)
         except Exception as error:
-            self._record_fault(error)
+            self.fault(error)
             self.relay.attempt_failed(job, Failure.SEND_FAILED)
         else:
             self.relay.attach(job, sock)
 
-    def _record_fault(self, error):
-        self.journal.record(Event.THREAD_FAILED, error=type(error).__name__)
-
     # Refusals.
 
     def _refuse_suspect(self, request):
@@ -335,7 +337,7 @@
         try:
             on_settled(request, outcome)
         except Exception as error:
-            self._record_fault(error)
+            self.fault(error)
 
     def _cancel(self, address, request_id):
         try:
--- a/src/cassiaford/pipeline/_events.py
+++ b/src/cassiaford/pipeline/_events.py
@@ -13,6 +13,7 @@
 # An event longer than this is taken for a broken stream.
 MAX_EVENT_BYTES = 4 * 1024 * 1024
 
+_DONE_WITHIN = len(b"data: [DONE]\n\n")
 _END_OF_EVENT = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _FINISHED = re.compile(rb'"finish_reason"\s*:\s*"')
 _USAGE = re.compile(rb'"usage"\s*:\s*\{')
@@ -42,6 +43,8 @@
         """Return the events that are whole now, each with its empty line."""
         if self.partial:
             data = self.partial + data
+        elif _is_one_event(data):
+            return [data]
         events = []
         start = 0
         for match in _END_OF_EVENT.finditer(data):
@@ -78,10 +81,10 @@
     """Return what an event of a model's stream says about the stream."""
     if not _has_data(event):
         return _COMMENT
-    if event[:16].split(b":", 1)[-1].strip() == b"[DONE]":
+    if b"[DONE]" in event[:_DONE_WITHIN]:
         return _DONE
     finished = _FINISHED.search(event) is not None
-    if _USAGE.search(event):
+    if b'"usage"' in event and _USAGE.search(event):
         return _usage_event(event, finished)
     if finished:
         return EventFacts(finished=True)
@@ -116,6 +119,13 @@
     return document.get("choices")
 
 
+def _is_one_event(data):
+    """Return whether data are one whole event, as they mostly are."""
+    return (
+        data.endswith(b"\n\n") and data.find(b"\n\n") == len(data) - 2
+    ) and b"\r" not in data
+
+
 def _has_data(event):
     return event.startswith(b"data:") or b"\ndata:" in event or b"\rdata:" in event
 
--- a/src/cassiaford/pipeline/_exchange.py
+++ b/src/cassiaford/pipeline/_exchange.py
@@ -4,6 +4,8 @@
 import socket
 from collections.abc import Callable
 
+import httptools
+
 from cassiaford.pipeline._answer_connection import AnswerConnection, AttemptListener
 from cassiaford.pipeline._answers import (
     REQUEST_ID_HEADER,
@@ -18,6 +20,7 @@
     PlainBodyRelay,
 )
 from cassiaford.pipeline._caller import CallerConnection, CallerListener
+from cassiaford.pipeline._events import StreamError
 from cassiaford.pipeline._job import Job
 from cassiaford.pipeline._limits import ExchangeLimits
 from cassiaford.pipeline._messages import Header, Outcome
@@ -101,8 +104,9 @@
     def cut(self) -> bool:
         """End at once because the process stops; return whether that cut it."""
         if self.settled:
+            unread = self.caller.unread_bytes
             self.caller.abort()
-            return False
+            return unread > 0
         self._drop_connection(cancel=True)
         verdict = combine([*self.job.verdicts, self._current_verdict()])
         self.job.abandoned = True
@@ -194,6 +198,12 @@
         else:
             self._go_elsewhere(failure, retry_after_s)
 
+    def parse_failed(self, error: httptools.HttpParserError) -> None:
+        """Report an error of our own that came out of the parser's callback."""
+        cause = error.__context__
+        if cause is not None and not isinstance(cause, StreamError):
+            self.owner.fault(cause)
+
     # Recovery.
 
     def _may_resume(self, failure):
--- a/src/cassiaford/pipeline/_owner.py
+++ b/src/cassiaford/pipeline/_owner.py
@@ -53,3 +53,7 @@
     @abstractmethod
     def over(self, job: Job) -> None:
         """Take note that a job is settled and its caller's connection closed."""
+
+    @abstractmethod
+    def fault(self, error: BaseException | None) -> None:
+        """Take note of an error that nothing was prepared for."""
--- a/src/cassiaford/pipeline/_relay.py
+++ b/src/cassiaford/pipeline/_relay.py
@@ -72,6 +72,7 @@
 
     def _run(self):
         asyncio.set_event_loop(self.loop)
+        self.loop.set_exception_handler(self._report_fault)
         self.loop.call_soon(self._sweep)
         self.loop.run_forever()
         self._close_loop()
@@ -117,10 +118,16 @@
         return sum(exchange.cut() for exchange in exchanges)
 
     def _sweep(self):
+        self.loop.call_later(self.sweep_interval_s, self._sweep)
         now = self.owner.clock()
         for exchange in tuple(self.exchanges.values()):
             exchange.sweep(now)
-        self.loop.call_later(self.sweep_interval_s, self._sweep)
+
+    def _report_fault(self, loop, context):
+        """Record what went wrong in a callback; the loop goes on."""
+        error = context.get("exception")
+        if not isinstance(error, OSError):
+            self.owner.fault(error)
 
     def _call(self, function: Callable, timeout_s):
         """Run a function in the loop and return its result."""
