--- a/src/cassiaford/pipeline/_dispatch.py
+++ b/src/cassiaford/pipeline/_dispatch.py
@@ -117,7 +117,7 @@
             self._changed.notify_all()
         if self.relay.thread.is_alive():
             with contextlib.suppress(TimeoutError):
-                self.relay.cut_all(timeout_s)
+                self._cut(timeout_s)
         for thread in self.threads:
             thread.join(max(0.0, give_up_at - time.monotonic()))
         self.relay.stop(max(0.0, give_up_at - time.monotonic()))
@@ -129,7 +129,7 @@
         with self._changed:
             if self._changed.wait_for(lambda: not self.jobs, timeout_s):
                 return 0
-        return self.relay.cut_all(timeout_s)
+        return self._cut(timeout_s)
 
     def submit(
         self,
@@ -162,7 +162,6 @@
             self.jobs.add(job)
             if refusal is None:
                 refusal = self.waiting.offer(job, self.clock())
-            self.relay.open(job)
             self._changed.notify()
         if refusal is not None:
             self.relay.refuse(job, refusal)
@@ -292,6 +291,8 @@
             job = self.waiting.take(now)
             if job is not None:
                 return job
+            for waiting in self.waiting.unwatched():
+                self.relay.watch(waiting)
             self._changed.wait(QUEUE_INTERVAL_S if self.waiting else None)
         return None
 
@@ -317,6 +318,11 @@
         else:
             self.relay.attach(job, sock)
 
+    def _cut(self, timeout_s):
+        with self._changed:
+            jobs = tuple(self.jobs)
+        return self.relay.cut(jobs, timeout_s)
+
     # Refusals.
 
     def _refuse_suspect(self, request):
--- a/src/cassiaford/pipeline/_exchange.py
+++ b/src/cassiaford/pipeline/_exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
 
 import httptools
 
@@ -69,7 +68,11 @@
         self._adopt(self.job.caller, self.caller, self._caller_unusable)
 
     def attach(self, sock: socket.socket) -> None:
-        """Take the connection on which the current attempt was sent."""
+        """Take the connection on which the current attempt was sent.
+
+        The loop sets up connections in the order in which it got them, so the
+        caller's is there before the first byte of an answer.
+        """
         if self.job.abandoned:
             sock.close()
             self.owner.cancel(self.job)
@@ -79,12 +82,15 @@
         self.connection = AnswerConnection(self, method, self.owner.clock)
         self._adopt(sock, self.connection, self._server_unusable)
 
-    def when_open(self, call: Callable, *arguments: object) -> None:
-        """Make a call as soon as the caller's connection is set up."""
+    def watch(self) -> None:
+        """Do nothing more than `open`: the caller is watched from then on."""
+
+    def when_open(self, method: str, *arguments: object) -> None:
+        """Call a method as soon as the caller's connection is set up."""
         if self.caller.transport is not None or self.closed:
-            call(*arguments)
+            getattr(self, method)(*arguments)
         else:
-            self.waiting.append((call, arguments))
+            self.waiting.append((method, arguments))
 
     def drop(self) -> None:
         """End a job that was not sent because its caller had left."""
@@ -110,7 +116,7 @@
         self._drop_connection(cancel=True)
         verdict = combine([*self.job.verdicts, self._current_verdict()])
         self.job.abandoned = True
-        self.when_open(self._end_with, stopping_refusal(verdict))
+        self.when_open("_end_with", stopping_refusal(verdict))
         return True
 
     def sweep(self, now: float) -> None:
@@ -418,5 +424,5 @@
 
     def _run_waiting(self):
         waiting, self.waiting = self.waiting, []
-        for call, arguments in waiting:
-            call(*arguments)
+        for method, arguments in waiting:
+            getattr(self, method)(*arguments)
--- a/src/cassiaford/pipeline/_job.py
+++ b/src/cassiaford/pipeline/_job.py
@@ -103,6 +103,7 @@
         self.resume_at: int | None = None
         self.server_echoes_id = False
         self.last_failure: Failure | None = None
+        self.opened = False
         self.abandoned = False
         self.copy = AnswerCopy(keeps=not request.repeatable)
         deterministic = upstream.streaming and _is_deterministic(request)
--- a/src/cassiaford/pipeline/_relay.py
+++ b/src/cassiaford/pipeline/_relay.py
@@ -5,9 +5,10 @@
 """
 
 import asyncio
+import functools
 import socket
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from cassiaford.pipeline._exchange import Exchange
 from cassiaford.pipeline._job import Job
@@ -46,9 +47,9 @@
             self.loop.call_soon_threadsafe(self.loop.stop)
             self.thread.join(timeout_s)
 
-    def open(self, job: Job) -> None:
-        """Begin a job's exchange."""
-        self.loop.call_soon_threadsafe(self._open, job)
+    def watch(self, job: Job) -> None:
+        """Watch the caller of a job that has to wait."""
+        self._post(job, "watch")
 
     def attach(self, job: Job, sock: socket.socket) -> None:
         """Give a job the connection on which its request was sent."""
@@ -56,19 +57,19 @@
 
     def attempt_failed(self, job: Job, failure: object) -> None:
         """Tell a job that its request could not be sent."""
-        self._post(job, "attempt_failed", failure)
+        self._post(job, "when_open", "attempt_failed", failure)
 
     def refuse(self, job: Job, refusal: Refusal) -> None:
         """Answer a job with a refusal."""
-        self._post(job, "refuse", refusal)
+        self._post(job, "when_open", "refuse", refusal)
 
     def drop(self, job: Job) -> None:
         """End a job whose caller has left before it was sent."""
-        self._post(job, "drop")
+        self._post(job, "when_open", "drop")
 
-    def cut_all(self, timeout_s: float) -> int:
-        """End every exchange at once and return how many that cut."""
-        return self._call(self._cut_all, timeout_s)
+    def cut(self, jobs: Iterable[Job], timeout_s: float) -> int:
+        """End jobs at once and return how many that cut."""
+        return self._call(functools.partial(self._cut, tuple(jobs)), timeout_s)
 
     def _run(self):
         asyncio.set_event_loop(self.loop)
@@ -78,7 +79,7 @@
         self._close_loop()
 
     def _close_loop(self):
-        self._cut_all()
+        self._cut(tuple(self.exchanges))
         give_up_at = self.loop.time() + CLOSE_TIMEOUT_S
         while self.exchanges and self.loop.time() < give_up_at:
             self.loop.run_until_complete(asyncio.sleep(CLOSE_INTERVAL_S))
@@ -88,10 +89,14 @@
         self.loop.run_until_complete(asyncio.sleep(0))
         self.loop.close()
 
-    def _open(self, job):
-        exchange = Exchange(job, self.owner, self.loop, self.limits)
-        self.exchanges[job] = exchange
-        exchange.open()
+    def _exchange(self, job):
+        """Return a job's exchange, begun at its first use; None if it is over."""
+        if job not in self.exchanges and not job.opened:
+            job.opened = True
+            exchange = Exchange(job, self.owner, self.loop, self.limits)
+            self.exchanges[job] = exchange
+            exchange.open()
+        return self.exchanges.get(job)
 
     def forget(self, job: Job) -> None:
         """Drop a job whose caller's connection is closed; loop thread only."""
@@ -107,15 +112,15 @@
             _close_sockets(arguments)
 
     def _deliver(self, job, method, arguments):
-        exchange = self.exchanges.get(job)
+        exchange = self._exchange(job)
         if exchange is None:
             _close_sockets(arguments)
             return
-        exchange.when_open(getattr(exchange, method), *arguments)
+        getattr(exchange, method)(*arguments)
 
-    def _cut_all(self):
-        exchanges = tuple(self.exchanges.values())
-        return sum(exchange.cut() for exchange in exchanges)
+    def _cut(self, jobs):
+        exchanges = [self._exchange(job) for job in jobs]
+        return sum(exchange.cut() for exchange in exchanges if exchange is not None)
 
     def _sweep(self):
         self.loop.call_later(self.sweep_interval_s, self._sweep)
--- a/src/cassiaford/pipeline/_waiting.py
+++ b/src/cassiaford/pipeline/_waiting.py
@@ -70,6 +70,10 @@
         """Remove and return the next job, placed unless its caller has left."""
         return self._take_again(now) or self._take_queued(now)
 
+    def unwatched(self) -> list[Job]:
+        """Return the jobs that wait and whose callers are not yet watched."""
+        return [job for job in self.queued.values() if not job.opened]
+
     def expire(self, now: float) -> list[tuple[Job, Refusal]]:
         """Remove the jobs past their deadline and return them with refusals."""
         expired = [
