--- a/src/cassiaford/pipeline/_body.py
+++ b/src/cassiaford/pipeline/_body.py
@@ -6,6 +6,7 @@
 
 from cassiaford.pipeline._caller import CallerConnection
 from cassiaford.pipeline._events import (
+    PLAIN_EVENT,
     EventSplitter,
     event_text,
     read_event,
@@ -50,7 +51,8 @@
 
     def send(self, data: bytes, length: int | None = None) -> None:
         """Write bytes, after the head if it is not yet written."""
-        self.copy.add(data)
+        if self.copy.keeps:
+            self.copy.add(data)
         head = b"" if self.caller.started else self.begin(length)
         self.caller.write(data, head)
 
@@ -136,7 +138,7 @@
             elif self._shows(event):
                 passed.append(event)
         if passed:
-            self.send(b"".join(passed))
+            self.send(passed[0] if len(passed) == 1 else b"".join(passed))
         return None
 
     def end(self) -> Failure | None:
@@ -155,6 +157,9 @@
     def _shows(self, event):
         facts = read_event(event)
         progress = self.progress
+        if facts is PLAIN_EVENT:
+            progress.add(event)
+            return True
         if facts.counts:
             progress.add(event)
         progress.usage = facts.usage or progress.usage
--- a/src/cassiaford/pipeline/_caller.py
+++ b/src/cassiaford/pipeline/_caller.py
@@ -85,13 +85,18 @@
 
     def write(self, data: bytes, head: bytes = b"") -> None:
         """Write a part of the body, the head before it."""
+        if self.finished:
+            return
         if self.chunked and data:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self.write_raw(head + data if head else data)
+            data = b"%b%x\r\n%b\r\n" % (head, len(data), data)
+        else:
+            data = head + data
+        if data:
+            self.transport.write(data)
 
     def write_raw(self, data: bytes) -> None:
         """Write bytes as they are."""
-        if data and not self.finished and not self.transport.is_closing():
+        if data and not self.finished:
             self.transport.write(data)
 
     def finish(self) -> None:
--- a/src/cassiaford/pipeline/_events.py
+++ b/src/cassiaford/pipeline/_events.py
@@ -72,7 +72,8 @@
     only_usage: bool = False
 
 
-_PLAIN = EventFacts()
+# What most events say: nothing beside their text.
+PLAIN_EVENT = EventFacts()
 _COMMENT = EventFacts(counts=False)
 _DONE = EventFacts(done=True)
 
@@ -88,9 +89,9 @@
         return _usage_event(event, finished)
     if finished:
         return EventFacts(finished=True)
-    if _ERROR.match(event):
+    if b'"error"' in event and _ERROR.match(event):
         return EventFacts(failed=True)
-    return _PLAIN
+    return PLAIN_EVENT
 
 
 def read_usage(document: object) -> Usage | None:
@@ -121,9 +122,7 @@
 
 def _is_one_event(data):
     """Return whether data are one whole event, as they mostly are."""
-    return (
-        data.endswith(b"\n\n") and data.find(b"\n\n") == len(data) - 2
-    ) and b"\r" not in data
+    return data.find(b"\n\n") == len(data) - 2 and b"\r" not in data
 
 
 def _has_data(event):
--- a/src/cassiaford/pipeline/_job.py
+++ b/src/cassiaford/pipeline/_job.py
@@ -58,23 +58,23 @@
     """
 
     def __init__(self, keeps: bool):
-        self.parts = [] if keeps else None
+        self.keeps = keeps
+        self.parts = []
         self.size = 0
 
     def add(self, data: bytes) -> None:
         """Keep a part of the body."""
-        if self.parts is None:
-            return
         self.size += len(data)
         if self.size > MAX_COPY_BYTES:
-            self.parts = None
+            self.keeps = False
+            self.parts.clear()
         else:
             self.parts.append(data)
 
     @property
     def content(self) -> bytes:
         """The whole body."""
-        return b"".join(self.parts or ())
+        return b"".join(self.parts)
 
 
 class Job:
