--- a/src/cassiaford/pipeline/_dispatch.py
+++ b/src/cassiaford/pipeline/_dispatch.py
@@ -116,7 +116,8 @@
             self.running = False
             self._changed.notify_all()
         if self.relay.thread.is_alive():
-            self.relay.cut_all(timeout_s)
+            with contextlib.suppress(TimeoutError):
+                self._cut(timeout_s)
         for thread in self.threads:
             thread.join(max(0.0, give_up_at - time.monotonic()))
         self.relay.stop(max(0.0, give_up_at - time.monotonic()))
@@ -128,7 +129,7 @@
         with self._changed:
             if self._changed.wait_for(lambda: not self.jobs, timeout_s):
                 return 0
-        return self.relay.cut_all(timeout_s)
+        return self._cut(timeout_s)
 
     def submit(
         self,
@@ -161,7 +162,6 @@
             self.jobs.add(job)
             if refusal is None:
                 refusal = self.waiting.offer(job, self.clock())
-            self.relay.open(job)
             self._changed.notify()
         if refusal is not None:
             self.relay.refuse(job, refusal)
@@ -262,6 +262,10 @@
             self.jobs.discard(job)
             self._changed.notify_all()
 
+    def fault(self, error: BaseException | None) -> None:
+        """Record an error that nothing was prepared for."""
+        self.journal.record(Event.THREAD_FAILED, error=type(error).__name__)
+
     # Dispatch threads.
 
     def _dispatch(self):
@@ -271,7 +275,7 @@
                     job = self._next_job()
             except Exception as error:
                 # The job stays where it is and is refused at its deadline.
-                self._record_fault(error)
+                self.fault(error)
                 time.sleep(QUEUE_INTERVAL_S)
                 continue
             if job is None:
@@ -287,6 +291,8 @@
             job = self.waiting.take(now)
             if job is not None:
                 return job
+            for waiting in self.waiting.unwatched():
+                self.relay.watch(waiting)
             self._changed.wait(QUEUE_INTERVAL_S if self.waiting else None)
         return None
 
@@ -307,13 +313,15 @@
         except ForwardError as error:
             self.relay.attempt_failed(job, error.failure)
         except Exception as error:
-            self._record_fault(error)
+            self.fault(error)
             self.relay.attempt_failed(job, Failure.SEND_FAILED)
         else:
             self.relay.attach(job, sock)
 
-    def _record_fault(self, error):
-        self.journal.record(Event.THREAD_FAILED, error=type(error).__name__)
+    def _cut(self, timeout_s):
+        with self._changed:
+            jobs = tuple(self.jobs)
+        return self.relay.cut(jobs, timeout_s)
 
     # Refusals.
 
@@ -335,7 +343,7 @@
         try:
             on_settled(request, outcome)
         except Exception as error:
-            self._record_fault(error)
+            self.fault(error)
 
     def _cancel(self, address, request_id):
         try:
