--- a/src/cassiaford/fleet/_configuration.py
+++ b/src/cassiaford/fleet/_configuration.py
@@ -161,9 +161,7 @@
                 self._reject(error)
                 self._stopping.wait(RETRY_S)
             except Exception as error:
-                self.journal.record(
-                    Event.THREAD_FAILED, thread="configuration", error=error
-                )
+                self._record_failure("configuration", error)
                 self._stopping.wait(RETRY_S)
 
     def _follow_service_once(self):
@@ -222,9 +220,10 @@
 
     def _write_snapshot_if_due(self):
         configuration = self.current
-        if configuration.revision % SNAPSHOT_INTERVAL:
+        past = configuration.revision - self.log.snapshot_revision
+        if past < SNAPSHOT_INTERVAL:
             return
-        # One instance is enough, and another one has the next turn.
+        # One instance is enough; if it fails, the next revision has another.
         names = [member.instance for member in self.peers.members()]
         turn = str(configuration.revision)
         if choose_instance(turn, names) != self.journal.instance:
@@ -258,6 +257,8 @@
         except (OSError, DroppedError, DecodeError, EntryError):
             # Another peer, or the service, is tried next.
             return
+        except Exception as error:
+            self._record_failure("configuration-peers", error)
 
     def _fetch(self, peer, number, started):
         body = encode_request(number)
@@ -318,9 +319,19 @@
         self.journal.revision = change.new.revision
         self._record(change, source)
         for callback in self.callbacks:
-            callback(change.old, change.new)
+            self._call(callback, change)
         self._tell_peers(change.new.revision)
 
+    def _call(self, callback, change):
+        try:
+            callback(change.old, change.new)
+        except Exception as error:
+            # The other parts must learn of the change all the same.
+            self._record_failure("configuration callback", error)
+
+    def _record_failure(self, thread, error):
+        self.journal.record(Event.THREAD_FAILED, thread=thread, error=repr(error))
+
     def _record(self, change, source):
         if change.rejected:
             self.journal.record(Event.REVISION_REJECTED, error=change.rejected)
--- a/src/cassiaford/fleet/_log.py
+++ b/src/cassiaford/fleet/_log.py
@@ -39,6 +39,8 @@
 PARTS_PREFIX = "config/snapshot/parts/"
 # The service holds values up to a megabyte, and they travel as base64 text.
 PART_BYTES = 512 * 1024
+# Larger entries of the log are compressed, so that a whole day sheet fits one.
+COMPRESS_BYTES = 16 * 1024
 # A snapshot is written when the log has run this far past the last one.
 SNAPSHOT_INTERVAL = 64
 SETTLE_ATTEMPTS = 4
@@ -98,15 +100,17 @@
 
 
 def encode_revision(revision: Revision) -> bytes:
-    """Return a revision as JSON text."""
-    return _REVISION.dump_json(revision)
+    """Return a revision as JSON text, compressed if it is large."""
+    text = _REVISION.dump_json(revision)
+    return zlib.compress(text) if len(text) > COMPRESS_BYTES else text
 
 
-def decode_revision(text: bytes) -> Revision:
-    """Return the revision in a JSON text; raises `EntryError`."""
+def decode_revision(data: bytes) -> Revision:
+    """Return the revision in a value of the log; raises `EntryError`."""
     try:
+        text = data if data.startswith(b"{") else zlib.decompress(data)
         return _REVISION.validate_json(text)
-    except ValidationError as error:
+    except (zlib.error, ValidationError) as error:
         raise EntryError("an entry of the log cannot be read") from error
 
 
@@ -131,6 +135,8 @@
     ):
         self.key_value = key_value
         self.sleep = sleep
+        # As far as this process has seen.
+        self.snapshot_revision = 0
 
     def load(self) -> Configuration:
         """Return the newest configuration.
@@ -222,7 +228,8 @@
         if not result.swapped:
             self._delete(new.parts)
             return False
-        self._delete(head.parts)
+        self.snapshot_revision = new.revision
+        self._delete_older_parts(new)
         # Followers that are a little behind still find recent entries.
         self._trim(head.revision)
         return True
@@ -232,12 +239,16 @@
         if entry.value is None:
             return SnapshotHead(), entry.version
         try:
-            return _HEAD.validate_json(entry.value), entry.version
+            head = _HEAD.validate_json(entry.value)
         except ValidationError as error:
             raise EntryError("the snapshot's head cannot be read") from error
+        self.snapshot_revision = max(self.snapshot_revision, head.revision)
+        return head, entry.version
 
     def _create(self, revision):
         key, value = log_key(revision.number), encode_revision(revision)
+        if len(value) > PART_BYTES:
+            raise ConfigurationLogError("too many changes for one revision")
         maybe_written = False
         for _ in range(SETTLE_ATTEMPTS):
             try:
@@ -281,6 +292,13 @@
             if entry.key <= log_key(number):
                 self.key_value.compare_and_swap(entry.key, None, entry.version)
 
+    def _delete_older_parts(self, head):
+        # Also those of authors that failed before they wrote the head.
+        first_kept = f"{PARTS_PREFIX}{head.revision:012d}"
+        for entry in self.key_value.list(PARTS_PREFIX):
+            if entry.key < first_kept:
+                self.key_value.compare_and_swap(entry.key, None, entry.version)
+
     def _delete(self, keys):
         for key in keys:
             entry = self.key_value.get(key)
--- a/src/cassiaford/fleet/_membership.py
+++ b/src/cassiaford/fleet/_membership.py
@@ -143,6 +143,7 @@
             event, peer=member.instance, peer_incarnation=member.incarnation
         )
         if update.state >= MemberState.DEAD:
+            del self._reported[member.instance]
             for listener in self.listeners:
                 listener.peer_gone(member.instance)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Tests of several instances over loopback sockets."""
 
+import socket
 import time
 import unittest
 
@@ -116,6 +117,33 @@
         self.key_value.set_down(False)
         wait_for(lambda: store.fresh(time.monotonic()))
 
+    def test_the_log_is_trimmed_and_a_newcomer_still_learns_all(self):
+        fleets = self.start_fleet(3)
+        for number in range(1, 131):
+            self.write(PutCustomer(Customer(f"customer-{number}", 1, 1)))
+        stores = [fleet.configuration for fleet in fleets]
+        wait_for(lambda: all(store.current.revision == 130 for store in stores))
+        wait_for(lambda: self.log.head().revision >= 64)
+        late = self.start("entry-9", [fleets[1].sockets.address])
+        wait_for(lambda: len(late.configuration.current.customers) == 130)
+
+    def test_a_callback_that_fails_does_not_keep_others_from_a_change(self):
+        fleet = self.start("entry-0")
+        changes = []
+        fleet.configuration.on_change(lambda old, new: 1 / 0)
+        fleet.configuration.on_change(lambda old, new: changes.append(new))
+        self.write(PutCustomer(Customer("academy", 1, 1)))
+        wait_for(lambda: changes)
+
+    def test_half_a_request_does_not_hold_up_the_peer_thread(self):
+        fleets = self.start_fleet(2)
+        host, _, port = fleets[0].sockets.address.rpartition(":")
+        with socket.create_connection((host, int(port))) as slow:
+            slow.sendall(b"\0\0")
+            self.write(PutCustomer(Customer("academy", 1, 1)))
+            wait_for(lambda: all(f.configuration.current.revision == 1 for f in fleets))
+            self.assertEqual(len(fleets[1].members()), 2)
+
     def test_a_leaving_instance_is_no_longer_named_to_callers(self):
         fleets = self.start_fleet(3)
         wait_for(lambda: len(fleets[0].entries("academy", "cluj")) == 3)
