--- /dev/null
+++ b/bench/configuration.py
@@ -0,0 +1,230 @@
+"""How fast a configuration change spreads between peers, and what it costs.
+
+One instance learns of each change from the key-value service; all others are
+cut from it and learn from peers alone, by notices and heartbeats, on virtual
+time with 1.5 ms one way. The cost of the document itself is measured at three
+numbers of customers.
+
+    python -m bench.configuration
+"""
+
+import argparse
+import heapq
+import itertools
+import json
+import pathlib
+import random
+import statistics
+import time
+import tracemalloc
+from dataclasses import asdict, dataclass
+
+from cassiaford.config import (
+    EMPTY_CONFIGURATION,
+    Customer,
+    PutCustomer,
+    PutKey,
+    Revision,
+    apply_changes,
+    find_customer,
+    issue_key,
+)
+from cassiaford.fleet._configuration import NOTICE_FANOUT
+from cassiaford.fleet._log import decode_configuration, encode_configuration
+from cassiaford.policy import RevisionPolicy
+
+SIZES = (7, 70, 370)
+CUSTOMERS = (100, 1000, 4000)
+CHANGES = 20
+ONE_WAY_S = 0.0015
+HEARTBEAT_S = 1.0
+TICK_S = 0.1
+LIMIT_S = 5.0
+
+
+@dataclass(frozen=True)
+class Spread:
+    """How a change spread over instances cut from the service, in seconds."""
+
+    instances: int
+    loss: float
+    median_s: float
+    slowest_s: float
+    notices_per_instance: float
+    fetches_per_instance: float
+
+
+@dataclass(frozen=True)
+class DocumentCost:
+    """What the configuration costs at a number of customers."""
+
+    customers: int
+    snapshot_bytes: int
+    memory_bytes: int
+    apply_ms: float
+    encode_ms: float
+    decode_ms: float
+    key_check_us: float
+
+
+class _Spread:
+    """Revision policies on virtual time; messages are lost at random."""
+
+    def __init__(self, size, loss, seed):
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.now = 0.0
+        self.policies = [RevisionPolicy(4.0, random.Random(n)) for n in range(size)]
+        for policy in self.policies:
+            policy.service_loaded_at(0.0)
+            policy.service_failed()
+        self.events = []
+        self.numbers = itertools.count()
+        self.notices = self.fetches = 0
+        for number in range(size):
+            self.after(self.rng.random() * HEARTBEAT_S, self.heartbeat, number)
+            self.after(self.rng.random() * TICK_S, self.tick, number)
+
+    def after(self, delay_s, action, *arguments):
+        event = (self.now + delay_s, next(self.numbers), action, arguments)
+        heapq.heappush(self.events, event)
+
+    def send(self, action, *arguments):
+        if self.rng.random() >= self.loss:
+            self.after(ONE_WAY_S, action, *arguments)
+
+    def change(self):
+        """Make a change at one instance; return how long the others took."""
+        started = self.now
+        revision = Revision(
+            self.policies[0].current.revision + 1,
+            "operator",
+            "",
+            0.0,
+            (PutCustomer(Customer("academy", 1, 1)),),
+        )
+        self.take(0, (revision,))
+        behind = set(range(1, len(self.policies)))
+        took = []
+        while behind:
+            self.now, _, action, arguments = heapq.heappop(self.events)
+            action(*arguments)
+            done = {
+                n
+                for n in behind
+                if self.policies[n].current.revision == revision.number
+            }
+            took += [self.now - started] * len(done)
+            behind -= done
+        return took
+
+    def take(self, number, entries):
+        policy = self.policies[number]
+        if not [entry for entry in entries if policy.take_entry(entry)]:
+            return
+        others = [n for n in range(len(self.policies)) if n != number]
+        for peer in policy.choose(others, NOTICE_FANOUT):
+            self.notices += 1
+            self.send(self.word, peer, number, policy.current.revision)
+
+    def word(self, number, peer, revision):
+        self.policies[number].peer_word(str(peer), revision, None, self.now)
+        self.fetch(number)
+
+    def fetch(self, number):
+        policy = self.policies[number]
+        peer = policy.fetch_from(self.now)
+        if peer is None:
+            return
+        self.fetches += 1
+        entries = self.policies[int(peer)].entries_after(policy.current.revision)
+        # A connection and a request take two round trips.
+        self.after(4 * ONE_WAY_S, self.take, number, entries)
+
+    def tick(self, number):
+        self.fetch(number)
+        self.after(TICK_S, self.tick, number)
+
+    def heartbeat(self, number):
+        peer = self.rng.randrange(len(self.policies))
+        for one, other in ((number, peer), (peer, number)):
+            revision = self.policies[other].current.revision
+            self.send(self.word, one, other, revision)
+        self.after(HEARTBEAT_S, self.heartbeat, number)
+
+
+def measure_spread(size: int, loss: float, seed: int) -> Spread:
+    """Return how changes spread over a fleet of a size."""
+    spread = _Spread(size, loss, seed)
+    took = [spread.change() for _ in range(CHANGES)]
+    times = [one for change in took for one in change]
+    return Spread(
+        instances=size,
+        loss=loss,
+        median_s=round(statistics.median(times), 4),
+        slowest_s=round(max(times), 4),
+        notices_per_instance=round(spread.notices / size / CHANGES, 2),
+        fetches_per_instance=round(spread.fetches / size / CHANGES, 2),
+    )
+
+
+def measure_document(customers: int) -> DocumentCost:
+    """Return what the configuration costs at a number of customers."""
+    names = [f"customer-{number}" for number in range(customers)]
+    keys = [issue_key(name) for name in names]
+    changes = [PutCustomer(Customer(name, 1, 1, ("binder",))) for name in names]
+    changes += [PutKey(key.entry) for key in keys]
+    first = Revision(1, "", "", 0.0, tuple(changes))
+    data = encode_configuration(apply_changes(EMPTY_CONFIGURATION, first))
+    tracemalloc.start()
+    configuration = decode_configuration(data)
+    memory_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    change = Revision(2, "", "", 0.0, (PutCustomer(Customer("new", 1, 1)),))
+    return DocumentCost(
+        customers=customers,
+        snapshot_bytes=len(data),
+        memory_bytes=memory_bytes,
+        apply_ms=_best_ms(lambda: apply_changes(configuration, change)),
+        encode_ms=_best_ms(lambda: encode_configuration(configuration)),
+        decode_ms=_best_ms(lambda: decode_configuration(data)),
+        key_check_us=_best_ms(lambda: find_customer(configuration, keys[0].text))
+        * 1000,
+    )
+
+
+def _best_ms(action, runs=7):
+    times = []
+    for _ in range(runs):
+        started = time.perf_counter()
+        action()
+        times.append(time.perf_counter() - started)
+    return round(min(times) * 1000, 4)
+
+
+def main() -> None:
+    """Measure, print and write the results as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    spreads = [
+        measure_spread(size, loss, arguments.seed)
+        for loss in (0.0, 0.1)
+        for size in SIZES
+    ]
+    costs = [measure_document(count) for count in CUSTOMERS]
+    results = {
+        "seed": arguments.seed,
+        "limit_s": LIMIT_S,
+        "spreads": [asdict(spread) for spread in spreads],
+        "documents": [asdict(cost) for cost in costs],
+    }
+    folder = pathlib.Path("bench-results")
+    folder.mkdir(exist_ok=True)
+    (folder / "configuration.json").write_text(json.dumps(results, indent=2))
+    for line in (*spreads, *costs):
+        print(json.dumps(asdict(line)))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cassiaford/policy/_revisions.py
+++ b/src/cassiaford/policy/_revisions.py
@@ -196,3 +196,4 @@
     def _caught_up(self):
         if self.current.revision >= self.highest_told():
             self.lacking_since = None
+            self.next_fetch = float("-inf")
