--- a/src/cassiaford/policy/_revisions.py
+++ b/src/cassiaford/policy/_revisions.py
@@ -125,12 +125,15 @@
     ) -> None:
         """Take note of the revision in force at a peer.
 
-        `as_of` is a time at which that was surely so, or None.
+        `as_of` is a time at which that was surely so, or None. A peer that is
+        behind does not vouch for the revision in force here.
         """
         self.told[instance] = max(revision, self.told.get(instance, 0))
         if revision > self.current.revision:
             self.service_ahead(now)
-        elif as_of is not None and self.loaded:
+            return
+        vouches = self.loaded and revision == self.current.revision
+        if vouches and as_of is not None:
             self.word_at = max(self.word_at, as_of)
 
     def forget_peer(self, instance: str) -> None:
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -178,6 +178,15 @@
         one.peer_word("entry-2", 0, 100.0, 100.1)
         self.assertTrue(one.fresh(103.0))
 
+    def test_a_peer_that_is_behind_does_not_keep_it_fresh(self):
+        one = policy()
+        one.take_entry(entry(1))
+        one.service_loaded_at(0.0)
+        one.peer_word("entry-2", 0, 100.0, 100.1)
+        self.assertFalse(one.fresh(103.0))
+        one.peer_word("entry-2", 1, 101.0, 101.1)
+        self.assertTrue(one.fresh(103.0))
+
     def test_an_unasked_word_proves_nothing_about_the_present(self):
         one = policy()
         one.service_loaded_at(0.0)
