--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -30,7 +30,7 @@
     issue_key,
 )
 from cassiaford.fleet._configuration import NOTICE_FANOUT
-from cassiaford.fleet._log import decode_configuration, encode_configuration
+from cassiaford.fleet._revision_codec import decode_configuration, encode_configuration
 from cassiaford.policy import RevisionPolicy
 
 SIZES = (7, 70, 370)
--- a/src/cassiaford/config/_sheet.py
+++ b/src/cassiaford/config/_sheet.py
@@ -5,11 +5,11 @@
 traffic runs.
 """
 
-from dataclasses import fields, replace
+from dataclasses import replace
 from pathlib import Path
 from typing import Annotated
 
-from pydantic import Field
+from pydantic import BeforeValidator
 from pydantic.dataclasses import dataclass
 
 from cassiaford.config._changes import (
@@ -27,73 +27,43 @@
 from cassiaford.config._document import (
     EMPTY_CONFIGURATION,
     STRICT,
-    Address,
     BackendServer,
     Configuration,
     Customer,
     Model,
-    Name,
     Route,
     ServerKind,
     ServerState,
 )
 from cassiaford.documents import DocumentError, parse_document, read_text
 
-PathPrefix = Annotated[str, Field(pattern=r"^/[!-~]*$")]
-
 
 class SheetError(DocumentError):
     """The day sheet cannot be used; `mistakes` has one line for each fault."""
 
 
-@dataclass(frozen=True, config=STRICT)
-class SheetCustomer:
-    """A customer in the sheet; see `Customer`."""
-
-    rate: Annotated[float, Field(gt=0)]
-    burst: Annotated[float, Field(gt=0)]
-    models: tuple[Name, ...] = ()
-
-
-@dataclass(frozen=True, config=STRICT)
-class SheetModel:
-    """A model in the sheet; see `Model`."""
-
-    version: Name
-    max_output: Annotated[int, Field(gt=0)] = 4096
-
-
-@dataclass(frozen=True, config=STRICT)
-class SheetServer:
-    """A backend server in the sheet; see `BackendServer`."""
-
-    address: Address
-    data_centre: Name
-    kind: ServerKind = ServerKind.ENGINE
-    models: tuple[Name, ...] = ()
-    group: Name | None = None
-    checks_fencing: bool = False
-    slots: Annotated[int, Field(gt=0)] = 32
+def _named_by(field):
+    """Return a validator that puts the name of each entry into the entry."""
 
+    def put_names(section):
+        if not isinstance(section, dict):
+            return section
+        return {
+            name: {field: name, **entry} if isinstance(entry, dict) else entry
+            for name, entry in section.items()
+        }
 
-@dataclass(frozen=True, config=STRICT)
-class SheetRoute:
-    """A route in the sheet; see `Route`."""
-
-    group: Name
-    methods: tuple[str, ...] = ("GET", "POST")
-    repeatable: bool = True
-    open_to_all: bool = False
+    return BeforeValidator(put_names)
 
 
 @dataclass(frozen=True, config=STRICT)
 class DaySheet:
     """What is to be in force; a section that is None is left as it is."""
 
-    customers: dict[Name, SheetCustomer] | None = None
-    models: dict[Name, SheetModel] | None = None
-    servers: dict[Name, SheetServer] | None = None
-    routes: dict[PathPrefix, SheetRoute] | None = None
+    customers: Annotated[dict[str, Customer], _named_by("name")] | None = None
+    models: Annotated[dict[str, Model], _named_by("name")] | None = None
+    servers: Annotated[dict[str, BackendServer], _named_by("name")] | None = None
+    routes: Annotated[dict[str, Route], _named_by("prefix")] | None = None
 
 
 def load_sheet(path: Path) -> DaySheet:
@@ -124,10 +94,10 @@
     on it can end.
     """
     changes = (
-        *_puts(_wanted_models(sheet), base.models, PutModel),
+        *_puts(sheet.models, base.models, PutModel),
         *_puts(_wanted_servers(sheet, base), base.servers, PutServer),
-        *_puts(_wanted_routes(sheet), base.routes, PutRoute),
-        *_puts(_wanted_customers(sheet), base.customers, PutCustomer),
+        *_puts(sheet.routes, base.routes, PutRoute),
+        *_puts(sheet.customers, base.customers, PutCustomer),
         *_removals(sheet.customers, base.customers, RemoveCustomer),
         *_removals(sheet.routes, base.routes, RemoveRoute),
         *_removals(sheet.models, base.models, RemoveModel),
@@ -139,8 +109,12 @@
     return changes
 
 
-def _puts(wanted, present, put):
-    return [put(value) for name, value in wanted.items() if present.get(name) != value]
+def _puts(section, present, put):
+    return [
+        put(value)
+        for name, value in (section or {}).items()
+        if present.get(name) != value
+    ]
 
 
 def _removals(section, present, remove):
@@ -149,42 +123,15 @@
     return [remove(name) for name in present if name not in section]
 
 
-def _wanted_customers(sheet):
-    return {
-        name: Customer(name, entry.rate, entry.burst, entry.models)
-        for name, entry in (sheet.customers or {}).items()
-    }
-
-
-def _wanted_models(sheet):
-    return {
-        name: Model(name, entry.version, entry.max_output)
-        for name, entry in (sheet.models or {}).items()
-    }
-
-
-def _wanted_routes(sheet):
-    return {
-        prefix: Route(prefix, **_fields_of(entry))
-        for prefix, entry in (sheet.routes or {}).items()
-    }
-
-
 def _wanted_servers(sheet, base):
     if sheet.servers is None:
-        return {}
-    wanted = {
-        name: BackendServer(name, **_fields_of(entry))
-        for name, entry in sheet.servers.items()
+        return None
+    missing = {
+        name: replace(server, state=ServerState.LEAVING)
+        for name, server in base.servers.items()
+        if name not in sheet.servers
     }
-    for name, server in base.servers.items():
-        if name not in wanted:
-            wanted[name] = replace(server, state=ServerState.LEAVING)
-    return wanted
-
-
-def _fields_of(entry):
-    return {field.name: getattr(entry, field.name) for field in fields(entry)}
+    return {**sheet.servers, **missing}
 
 
 def _mistakes(sheet, after):
@@ -196,6 +143,10 @@
     models = _names(sheet.models, after.models)
     servers = _joined(after.servers) or sheet.servers
     return (
+        *_misnamed("customers", sheet.customers, "name"),
+        *_misnamed("models", sheet.models, "name"),
+        *_misnamed("servers", sheet.servers, "name"),
+        *_misnamed("routes", sheet.routes, "prefix"),
         *_unknown_models("customers", after.customers or sheet.customers, models),
         *_unknown_models("servers", servers, models),
         *_odd_servers(servers),
@@ -203,6 +154,14 @@
     )
 
 
+def _misnamed(title, section, field):
+    return [
+        f"{title}.{name}.{field}: must be left out or {name!r}"
+        for name, entry in (section or {}).items()
+        if getattr(entry, field) != name
+    ]
+
+
 def _joined(servers):
     return {
         name: server
--- a/src/cassiaford/documents/_check.py
+++ b/src/cassiaford/documents/_check.py
@@ -6,7 +6,7 @@
 from dataclasses import fields, is_dataclass
 from pathlib import Path
 from types import NoneType, UnionType
-from typing import Annotated, Any, get_args, get_origin
+from typing import Annotated, Any, Union, get_args, get_origin
 
 from pydantic import SecretStr, TypeAdapter, ValidationError
 
@@ -106,9 +106,14 @@
 
 
 def _without_none(annotation):
-    if get_origin(annotation) is UnionType:
+    """Return what a field holds, without None and without validators."""
+    if get_origin(annotation) in (Union, UnionType):
         present = [a for a in get_args(annotation) if a is not NoneType]
-        return present[0] if len(present) == 1 else annotation
-    if get_origin(annotation) is Annotated and is_dataclass(get_args(annotation)[0]):
+        annotation = present[0] if len(present) == 1 else annotation
+    if get_origin(annotation) is Annotated and _is_section(get_args(annotation)[0]):
         return get_args(annotation)[0]
     return annotation
+
+
+def _is_section(annotation):
+    return is_dataclass(annotation) or get_origin(annotation) in (dict, Mapping)
--- a/src/cassiaford/fleet/__init__.py
+++ b/src/cassiaford/fleet/__init__.py
@@ -5,11 +5,10 @@
 from cassiaford.fleet._log import (
     Author,
     ConfigurationLog,
-    ConfigurationLogError,
-    EntryError,
     LostRaceError,
     UnknownOutcomeError,
 )
+from cassiaford.fleet._revision_codec import ConfigurationLogError, EntryError
 from cassiaford.fleet._transport import (
     Channel,
     Member,
--- a/src/cassiaford/fleet/_configuration.py
+++ b/src/cassiaford/fleet/_configuration.py
@@ -6,34 +6,22 @@
 from dataclasses import dataclass
 
 from cassiaford.config import Configuration
-from cassiaford.fleet._codec import (
-    ConfigurationContent,
-    DecodeError,
-    decode_content,
-    decode_notice,
-    decode_request,
-    encode_content,
-    encode_notice,
-    encode_request,
-)
+from cassiaford.fleet._codec import DecodeError
+from cassiaford.fleet._exchange import ConfigurationExchange
 from cassiaford.fleet._gate import DroppedError
-from cassiaford.fleet._log import (
-    SNAPSHOT_INTERVAL,
-    ConfigurationLog,
+from cassiaford.fleet._log import SNAPSHOT_INTERVAL, ConfigurationLog
+from cassiaford.fleet._revision_codec import (
     EntryError,
     decode_configuration,
     decode_revision,
-    encode_configuration,
-    encode_revision,
 )
-from cassiaford.fleet._transport import Channel, RequestTransport
+from cassiaford.fleet._transport import RequestTransport
 from cassiaford.keyvalue import KeyValueError
 from cassiaford.logs import Event
 from cassiaford.policy import RevisionChange, RevisionPolicy, choose_instance
 from cassiaford.timeline import Journal
 
 NOTICE_FANOUT = 4
-PEER_REQUEST_TIMEOUT_S = 2.0
 RETRY_S = 0.5
 # The fleet's watches that run out, a second, on the key-value service.
 WATCH_RENEWALS_PER_S = 50.0
@@ -79,13 +67,16 @@
         self._fetch_wanted = threading.Event()
         self._was_fresh = None
         self._last_rejection = ""
-        self._encoded = (-1, b"")
         self._threads = [
             threading.Thread(target=self._follow_service, name="configuration"),
             threading.Thread(target=self._follow_peers, name="configuration-peers"),
         ]
-        peers.subscribe(Channel.CONFIGURATION, self._on_notice)
-        peers.answer(Channel.CONFIGURATION, self._on_request)
+        self.exchange = ConfigurationExchange(
+            peers,
+            lambda: self.current,
+            self._entries_after,
+            lambda peer, revision: self.peer_heard(peer, revision, None),
+        )
 
     def start(self) -> None:
         """Start following the service and the peers."""
@@ -261,11 +252,7 @@
             self._record_failure("configuration-peers", error)
 
     def _fetch(self, peer, number, started):
-        body = encode_request(number)
-        reply = self.peers.request(
-            peer, Channel.CONFIGURATION, body, PEER_REQUEST_TIMEOUT_S
-        )
-        content = decode_content(reply.body)
+        content = self.exchange.fetch(peer, number)
         if content.snapshot:
             self._take_snapshot(decode_configuration(content.snapshot), peer)
         for entry in content.entries:
@@ -273,30 +260,9 @@
         with self._lock:
             self.policy.peer_loaded_at(started)
 
-    def _on_notice(self, message):
-        try:
-            revision = decode_notice(message.body)
-        except DecodeError:
-            return
-        self.peer_heard(message.sender, revision, None)
-
-    def _on_request(self, message):
-        number = decode_request(message.body)
+    def _entries_after(self, number):
         with self._lock:
-            entries = self.policy.entries_after(number)
-        if entries is not None:
-            texts = tuple(encode_revision(entry) for entry in entries)
-            return encode_content(ConfigurationContent(entries=texts))
-        return encode_content(ConfigurationContent(snapshot=self._snapshot()))
-
-    def _snapshot(self):
-        configuration = self.current
-        if self._encoded[0] != configuration.revision:
-            self._encoded = (
-                configuration.revision,
-                encode_configuration(configuration),
-            )
-        return self._encoded[1]
+            return self.policy.entries_after(number)
 
     # Putting revisions in force.
 
@@ -348,9 +314,8 @@
     def _tell_peers(self, revision):
         names = [member.instance for member in self.peers.members()]
         others = [name for name in names if name != self.journal.instance]
-        body = encode_notice(revision)
-        for name in self.policy.choose(others, NOTICE_FANOUT):
-            self.peers.send(name, Channel.CONFIGURATION, body)
+        chosen = self.policy.choose(others, NOTICE_FANOUT)
+        self.exchange.tell(chosen, revision)
 
 
 def create_configuration_store(
--- a/src/cassiaford/fleet/_log.py
+++ b/src/cassiaford/fleet/_log.py
@@ -12,7 +12,6 @@
 
 import secrets
 import time
-import zlib
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -26,6 +25,14 @@
     Revision,
     apply_changes,
 )
+from cassiaford.fleet._revision_codec import (
+    ConfigurationLogError,
+    EntryError,
+    decode_configuration,
+    decode_revision,
+    encode_configuration,
+    encode_revision,
+)
 from cassiaford.keyvalue import (
     Entry,
     KeyValueError,
@@ -39,8 +46,6 @@
 PARTS_PREFIX = "config/snapshot/parts/"
 # The service holds values up to a megabyte, and they travel as base64 text.
 PART_BYTES = 512 * 1024
-# Larger entries of the log are compressed, so that a whole day sheet fits one.
-COMPRESS_BYTES = 16 * 1024
 # A snapshot is written when the log has run this far past the last one.
 SNAPSHOT_INTERVAL = 64
 SETTLE_ATTEMPTS = 4
@@ -48,17 +53,6 @@
 NONCE_BYTES = 8
 MAX_LOAD_ATTEMPTS = 5
 
-_REVISION = TypeAdapter(Revision)
-_CONFIGURATION = TypeAdapter(Configuration)
-
-
-class ConfigurationLogError(Exception):
-    """The configuration in the key-value service cannot be used."""
-
-
-class EntryError(ConfigurationLogError):
-    """An entry of the log that this release cannot read."""
-
 
 class LostRaceError(ConfigurationLogError):
     """Another author wrote the revision first; `winner` is what it wrote."""
@@ -99,34 +93,6 @@
     wall_clock: Callable[[], float] = time.time
 
 
-def encode_revision(revision: Revision) -> bytes:
-    """Return a revision as JSON text, compressed if it is large."""
-    text = _REVISION.dump_json(revision)
-    return zlib.compress(text) if len(text) > COMPRESS_BYTES else text
-
-
-def decode_revision(data: bytes) -> Revision:
-    """Return the revision in a value of the log; raises `EntryError`."""
-    try:
-        text = data if data.startswith(b"{") else zlib.decompress(data)
-        return _REVISION.validate_json(text)
-    except (zlib.error, ValidationError) as error:
-        raise EntryError("an entry of the log cannot be read") from error
-
-
-def encode_configuration(configuration: Configuration) -> bytes:
-    """Return a configuration as compressed JSON text."""
-    return zlib.compress(_CONFIGURATION.dump_json(configuration))
-
-
-def decode_configuration(data: bytes) -> Configuration:
-    """Return the configuration in a compressed JSON text."""
-    try:
-        return _CONFIGURATION.validate_json(zlib.decompress(data))
-    except (zlib.error, ValidationError) as error:
-        raise EntryError("a snapshot cannot be read") from error
-
-
 class ConfigurationLog:
     """Reads and writes the configuration in the key-value service."""
 
--- a/tests/test_cli_configuration.py
+++ b/tests/test_cli_configuration.py
@@ -98,6 +98,23 @@
         self.assertIn("did you mean 'rate'", result.output)
         self.assertIn("servers.engine-1.address: 'localhost'", result.output)
 
+    def test_check_wants_sections_and_names_of_their_form(self):
+        self.sheet.write_text(
+            "models = 3\n[customers]\nx = 1\n"
+            '[servers."a b"]\naddress = "127.0.0.1:1"\ndata_centre = "cluj"\n'
+            '[routes."/a"]\nprefix = "/b"\ngroup = "shop"\n'
+        )
+        result = self.run_command(
+            "sheet", "check", str(self.sheet), code=1, service=False
+        )
+        for place in ("models: 3 is", "customers.x: 1 is", "servers.a b.name: 'a b'"):
+            self.assertIn(place, result.output)
+        self.sheet.write_text('[routes."/a"]\nprefix = "/b"\ngroup = "shop"\n')
+        result = self.run_command(
+            "sheet", "check", str(self.sheet), code=1, service=False
+        )
+        self.assertIn("routes./a.prefix: must be left out or '/a'", result.output)
+
     def test_check_finds_names_that_lead_nowhere(self):
         text = SHEET.replace('models = ["binder"]', 'models = ["minutes"]')
         self.sheet.write_text(text.replace('group = "shop"\nrep', 'group = "x"\nrep'))
--- a/tests/test_configuration_log.py
+++ b/tests/test_configuration_log.py
@@ -22,9 +22,9 @@
     HEAD_KEY,
     LOG_PREFIX,
     PARTS_PREFIX,
-    encode_revision,
     log_key,
 )
+from cassiaford.fleet._revision_codec import encode_revision
 from cassiaford.keyvalue import OutcomeUnknownError, UnavailableError
 from tests.fakes_keyvalue import FakeKeyValueService
 
