--- a/src/cassiaford/fleet/_configuration.py
+++ b/src/cassiaford/fleet/_configuration.py
@@ -88,7 +88,8 @@
         """Stop both threads; one that waits on the service is left behind."""
         self._stopping.set()
         self._fetch_wanted.set()
-        self._threads[1].join(STOP_TIMEOUT_S)
+        if self._threads[1].is_alive():
+            self._threads[1].join(STOP_TIMEOUT_S)
 
     def on_change(self, callback: OnChange) -> None:
         """Have a callback called with the old and new configuration.
