--- a/src/cassiaford/fleet/_fleet.py
+++ b/src/cassiaford/fleet/_fleet.py
@@ -81,7 +81,8 @@
             for member in self.members()
             if (member.instance, member.incarnation) not in leaving
         ]
-        return rank_entries(members, customer, data_centre)
+        suspected = self.runner.suspected()
+        return rank_entries(members, customer, data_centre, suspected)
 
 
 class _ConfigurationListener(PeerListener):
--- a/src/cassiaford/fleet/_membership.py
+++ b/src/cassiaford/fleet/_membership.py
@@ -66,6 +66,11 @@
         with self._lock:
             return self.membership.members()
 
+    def suspected(self) -> frozenset[str]:
+        """Return the names of the members that do not answer at present."""
+        with self._lock:
+            return self.membership.suspected()
+
     def address_of(self, instance: str) -> str | None:
         """Return the peer address of an instance, also of a dead one."""
         with self._lock:
--- a/src/cassiaford/policy/_lookup.py
+++ b/src/cassiaford/policy/_lookup.py
@@ -17,11 +17,15 @@
 
 
 def rank_entries(
-    members: Sequence[Member], customer: str, data_centre: str
+    members: Sequence[Member],
+    customer: str,
+    data_centre: str,
+    suspected: frozenset[str] = frozenset(),
 ) -> tuple[Member, ...]:
     """Return the members that take requests, best first.
 
-    Those in the caller's data centre stand before all others.
+    Those in the caller's data centre stand before all others, and those that
+    are suspected to be dead after all others.
     """
     staying = [member for member in members if not member.leaving]
     serving = [member for member in staying if member.ready] or staying
@@ -29,6 +33,7 @@
         sorted(
             serving,
             key=lambda member: (
+                member.instance in suspected,
                 member.data_centre != data_centre,
                 -_weight(customer, member.instance),
                 member.instance,
--- a/src/cassiaford/policy/_membership.py
+++ b/src/cassiaford/policy/_membership.py
@@ -102,6 +102,10 @@
         own = replace(self.own.member, revision=self.revision)
         return (own, *self.table.live())
 
+    def suspected(self) -> frozenset[str]:
+        """Return the names of the members that do not answer at present."""
+        return frozenset(member.instance for member in self.table.suspects())
+
     def learn_addresses(self, addresses: tuple[str, ...]) -> None:
         """Take note of addresses at which instances may be found."""
         known = {member.peer_address for member in self.members()}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 import functools
 import unittest
+from dataclasses import replace
 
 from cassiaford.policy import Member, MemberState, choose_instance, rank_entries
 from tests.virtual_fleet import Faults, VirtualFleet
@@ -153,6 +154,19 @@
         self.assertEqual([m.data_centre for m in ranked[:2]], ["dc-1", "dc-1"])
         self.assertEqual(len(ranked), 7)
 
+    def test_a_suspected_instance_comes_last(self):
+        suspected = frozenset({"entry-1", "entry-4"})
+        ranked = rank_entries(self.members(7), "academy", "dc-1", suspected)
+        self.assertEqual({m.instance for m in ranked[-2:]}, suspected)
+
+    def test_an_instance_that_is_not_ready_is_named_only_if_all_are_so(self):
+        members = [replace(member, ready=False) for member in self.members(3)]
+        self.assertEqual(len(rank_entries(members, "academy", "")), 3)
+        members[1] = replace(members[1], ready=True)
+        self.assertEqual(rank_entries(members, "academy", ""), (members[1],))
+        members[1] = replace(members[1], leaving=True)
+        self.assertNotIn(members[1], rank_entries(members, "academy", ""))
+
     def test_a_lost_instance_moves_only_its_own_customers(self):
         members = self.members(7)
         customers = [f"customer-{n}" for n in range(500)]
