--- a/src/cassiaford/fleet/__init__.py
+++ b/src/cassiaford/fleet/__init__.py
@@ -26,6 +26,10 @@
     RateLimiter,
     create_rate_limiter,
 )
+from cassiaford.fleet._revision_codec import (
+    ConfigurationLogError,
+    EntryError,
+)
 from cassiaford.fleet._suspects import (
     SuspectRegistry,
     create_suspects,
--- a/src/cassiaford/fleet/_log.py
+++ b/src/cassiaford/fleet/_log.py
@@ -12,7 +12,6 @@
 
 import secrets
 import time
-import zlib
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -26,6 +25,14 @@
     Revision,
     apply_changes,
 )
+from cassiaford.fleet._revision_codec import (
+    ConfigurationLogError,
+    EntryError,
+    decode_configuration,
+    decode_revision,
+    encode_configuration,
+    encode_revision,
+)
 from cassiaford.keyvalue import (
     Entry,
     KeyValueError,
@@ -46,17 +53,6 @@
 NONCE_BYTES = 8
 MAX_LOAD_ATTEMPTS = 5
 
-_REVISION = TypeAdapter(Revision)
-_CONFIGURATION = TypeAdapter(Configuration)
-
-
-class ConfigurationLogError(Exception):
-    """The configuration in the key-value service cannot be used."""
-
-
-class EntryError(ConfigurationLogError):
-    """An entry of the log that this release cannot read."""
-
 
 class LostRaceError(ConfigurationLogError):
     """Another author wrote the revision first; `winner` is what it wrote."""
@@ -97,32 +93,6 @@
     wall_clock: Callable[[], float] = time.time
 
 
-def encode_revision(revision: Revision) -> bytes:
-    """Return a revision as JSON text."""
-    return _REVISION.dump_json(revision)
-
-
-def decode_revision(text: bytes) -> Revision:
-    """Return the revision in a JSON text; raises `EntryError`."""
-    try:
-        return _REVISION.validate_json(text)
-    except ValidationError as error:
-        raise EntryError("an entry of the log cannot be read") from error
-
-
-def encode_configuration(configuration: Configuration) -> bytes:
-    """Return a configuration as compressed JSON text."""
-    return zlib.compress(_CONFIGURATION.dump_json(configuration))
-
-
-def decode_configuration(data: bytes) -> Configuration:
-    """Return the configuration in a compressed JSON text."""
-    try:
-        return _CONFIGURATION.validate_json(zlib.decompress(data))
-    except (zlib.error, ValidationError) as error:
-        raise EntryError("a snapshot cannot be read") from error
-
-
 class ConfigurationLog:
     """Reads and writes the configuration in the key-value service."""
 
@@ -131,6 +101,8 @@
     ):
         self.key_value = key_value
         self.sleep = sleep
+        # As far as this process has seen.
+        self.snapshot_revision = 0
 
     def load(self) -> Configuration:
         """Return the newest configuration.
@@ -222,7 +194,8 @@
         if not result.swapped:
             self._delete(new.parts)
             return False
-        self._delete(head.parts)
+        self.snapshot_revision = new.revision
+        self._delete_older_parts(new)
         # Followers that are a little behind still find recent entries.
         self._trim(head.revision)
         return True
@@ -232,12 +205,16 @@
         if entry.value is None:
             return SnapshotHead(), entry.version
         try:
-            return _HEAD.validate_json(entry.value), entry.version
+            head = _HEAD.validate_json(entry.value)
         except ValidationError as error:
             raise EntryError("the snapshot's head cannot be read") from error
+        self.snapshot_revision = max(self.snapshot_revision, head.revision)
+        return head, entry.version
 
     def _create(self, revision):
         key, value = log_key(revision.number), encode_revision(revision)
+        if len(value) > PART_BYTES:
+            raise ConfigurationLogError("too many changes for one revision")
         maybe_written = False
         for _ in range(SETTLE_ATTEMPTS):
             try:
@@ -281,6 +258,13 @@
             if entry.key <= log_key(number):
                 self.key_value.compare_and_swap(entry.key, None, entry.version)
 
+    def _delete_older_parts(self, head):
+        # Also those of authors that failed before they wrote the head.
+        first_kept = f"{PARTS_PREFIX}{head.revision:012d}"
+        for entry in self.key_value.list(PARTS_PREFIX):
+            if entry.key < first_kept:
+                self.key_value.compare_and_swap(entry.key, None, entry.version)
+
     def _delete(self, keys):
         for key in keys:
             entry = self.key_value.get(key)
--- a/src/cassiaford/fleet/_membership.py
+++ b/src/cassiaford/fleet/_membership.py
@@ -70,6 +70,11 @@
         with self._lock:
             return self.membership.members()
 
+    def suspected(self) -> frozenset[str]:
+        """Return the names of the members that do not answer at present."""
+        with self._lock:
+            return self.membership.suspected()
+
     def address_of(self, instance: str) -> str | None:
         """Return the peer address of an instance, also of a dead one."""
         with self._lock:
@@ -146,6 +151,8 @@
         self.journal.record(
             event, peer=member.instance, peer_incarnation=member.incarnation
         )
+        if update.state >= MemberState.DEAD:
+            del self._reported[member.instance]
         for listener in self.listeners:
             listener.member_changed(update)
             if update.state >= MemberState.DEAD:
