--- a/src/cassiaford/fleet/_claims_codec.py
+++ b/src/cassiaford/fleet/_claims_codec.py
@@ -30,18 +30,19 @@
 
 def encode_segment(records: Mapping[str, ClaimRecord]) -> bytes:
     """Return the value of a segment."""
-    return "\n".join(_line(record) for record in records.values()).encode()
+    return b"\n".join(encode_record(record) for record in records.values())
 
 
 def decode_segment(value: bytes) -> dict[str, ClaimRecord]:
     """Return the records in a segment's value, by key."""
     if not value:
         return {}
-    records = [_record(json.loads(line)) for line in value.split(b"\n")]
+    records = [decode_record(line) for line in value.split(b"\n")]
     return {record.key: record for record in records}
 
 
-def _line(record):
+def encode_record(record: ClaimRecord) -> bytes:
+    """Return one line of a shard or segment."""
     fields = [
         record.key,
         record.fingerprint,
@@ -57,11 +58,12 @@
         base64.b64encode(record.body).decode(),
         record.body_kept,
     ]
-    return json.dumps(fields, separators=(",", ":"))
+    return json.dumps(fields, separators=(",", ":")).encode()
 
 
-def _record(fields):
-    record = ClaimRecord(*fields[:13])
+def decode_record(line: bytes) -> ClaimRecord:
+    """Return the record in a line; fields of later releases are left out."""
+    record = ClaimRecord(*json.loads(line)[:13])
     values = dict(vars(record))
     values["state"] = ClaimState(record.state)
     values["verdict"] = Verdict(record.verdict)
--- a/src/cassiaford/fleet/_transport.py
+++ b/src/cassiaford/fleet/_transport.py
@@ -14,6 +14,7 @@
     RATES = 3
     SUSPECTS = 4
     LOAD = 5
+    CLAIMS = 6
 
 
 @dataclass(frozen=True)
--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -11,13 +11,16 @@
 from cassiaford.policy._claim_shard import (
     GROUP_WINDOW_S,
     OUTCOME_WINDOW_S,
+    START_WITHIN_S,
+    ShardBook,
+    conflict_delay,
+)
+from cassiaford.policy._claim_steps import (
     ReadSegment,
     ReadShard,
     Settled,
-    ShardBook,
     WriteSegment,
     WriteShard,
-    conflict_delay,
 )
 from cassiaford.policy._claims import (
     Claim,
@@ -26,13 +29,10 @@
     ClaimState,
     RecordedOutcome,
     ended_record,
+    released_record,
     unavailable,
 )
-from cassiaford.policy._owners import (
-    Holder,
-    Ledger,
-    OwnerTable,
-)
+from cassiaford.policy._owners import Holder, Ledger, OwnerTable, rendezvous_score
 from cassiaford.policy._placement import (
     Placement,
     PlacementPolicy,
@@ -89,6 +89,7 @@
     "RecordedOutcome",
     "Report",
     "Returned",
+    "START_WITHIN_S",
     "Sealed",
     "Send",
     "ServerView",
@@ -104,5 +105,7 @@
     "WriteShard",
     "conflict_delay",
     "ended_record",
+    "released_record",
+    "rendezvous_score",
     "unavailable",
 ]
--- a/src/cassiaford/policy/_claim_shard.py
+++ b/src/cassiaford/policy/_claim_shard.py
@@ -1,31 +1,38 @@
 """One shard of claims: what to write, and what each arrival is told."""
 
+import collections
 import random
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from cassiaford.policy._claim_segments import Sealed, SegmentIndex, ShardState
+from cassiaford.policy._claim_steps import (
+    Answers,
+    ReadSegment,
+    ReadShard,
+    Settled,
+    Step,
+    WriteSegment,
+    WriteShard,
+    second_arrival,
+)
 from cassiaford.policy._claims import (
     CLOCK_SKEW_S,
     RETENTION_S,
     Claim,
-    ClaimAnswer,
     ClaimRecord,
     ClaimState,
-    RecordedOutcome,
+    released_record,
     unavailable,
 )
-from cassiaford.verdict import Refusal, RefusalReason, Verdict, refuse
+from cassiaford.verdict import Verdict
 
 # The first byte must leave within this time of the claim's first write.
 START_WITHIN_S = 60.0
-# After this time a run that has not been recorded is taken for lost.
-MAX_RUN_S = 660.0
 # Above these sizes in bytes a shard keeps no more bodies, and takes no more
 # claims; outcomes then still fit under the megabyte that a value may have.
 BODY_VALUE_BYTES = 600_000
 CLAIM_VALUE_BYTES = 800_000
-IN_PROGRESS_RETRY_S = 1.0
 # Claims wait this long for others to share their write, outcomes longer.
 GROUP_WINDOW_S = 0.003
 OUTCOME_WINDOW_S = 0.1
@@ -33,59 +40,16 @@
 CONFLICT_DELAY_S = 0.004
 MAX_CONFLICT_DELAY_S = 0.064
 MAX_QUEUED_OUTCOMES = 10_000
-# Ended claims of this size together are sealed in a segment, which the service
-# deletes once all of its records have expired everywhere.
+# Forwarded claims without an answer of which a late grant is still undone.
+MAX_ELSEWHERE = 1000
+# Ended claims of this size together are sealed in a segment.
 SEAL_BYTES = 48_000
-SEGMENT_TTL_S = RETENTION_S + 3 * CLOCK_SKEW_S
 # After a write that lost to another instance's, the shard is read before each
 # write for a while, unless it was read this short a time ago.
 CONTENTION_MEMORY_S = 10.0
 FRESH_S = 0.01
 
 
-@dataclass(frozen=True)
-class Settled:
-    """The answer to one pending claim, named by its nonce."""
-
-    nonce: str
-    answer: ClaimAnswer
-
-
-Answers = tuple[Settled, ...]
-
-
-@dataclass(frozen=True)
-class ReadShard:
-    """Asks the shell to read the shard."""
-
-
-@dataclass(frozen=True)
-class WriteShard:
-    """Asks the shell to write the shard by compare-and-swap."""
-
-    state: ShardState
-    version: int
-
-
-@dataclass(frozen=True)
-class ReadSegment:
-    """Asks the shell to read a sealed segment."""
-
-    name: str
-
-
-@dataclass(frozen=True)
-class WriteSegment:
-    """Asks the shell to create a segment, to be deleted after `ttl_s`."""
-
-    name: str
-    records: Mapping[str, ClaimRecord]
-    ttl_s: float = SEGMENT_TTL_S
-
-
-Step = ReadShard | WriteShard | ReadSegment | WriteSegment
-
-
 class ShardBook:
     """The claims of one shard, as one instance sees and changes them.
 
@@ -101,6 +65,7 @@
         seal_bytes: int = SEAL_BYTES,
     ):
         self.name = name
+        self.instance = instance
         self.author = f"{instance}.{incarnation}"
         self.seal_bytes = seal_bytes
         self.version = -1
@@ -114,27 +79,59 @@
         self._seal = None
         self._seals = 0
         self._unsure = set()
+        self._elsewhere = collections.OrderedDict()
+        self._must_write = False
+        self._steps = 0
+        self._queued_at = {}
         self._unsure_version = None
         self._known_at = 0.0
         self._contended_until = 0.0
 
-    def submit(self, record: ClaimRecord, now: float) -> Settled | None:
-        """Add a claim; return its answer if no call is needed for it."""
+    def submit(
+        self, record: ClaimRecord, now: float, forwarded: bool = False
+    ) -> Settled | None:
+        """Add a claim; return its answer if no call is needed for it.
+
+        One that was `forwarded` before may be written by another instance.
+        """
         standing = self._local_view(record)
+        claim = Claim(self.name, record, now + START_WITHIN_S)
+        if standing is not None and _is_granted(standing, record):
+            return Settled(record.nonce, claim)
         if standing is not None and self._is_final(standing):
             return Settled(record.nonce, self._second_arrival(standing, record))
-        self.pending[record.nonce] = Claim(self.name, record, now + START_WITHIN_S)
+        self.pending[record.nonce] = claim
+        if forwarded:
+            self._note_elsewhere(record)
         return None
 
     def abandon(self, nonce: str) -> None:
         """Give up a pending claim.
 
         If a write with it may have taken effect, or may yet, it is released
-        by a later write.
+        by a later write; that of another instance by that one alone, since it
+        may have been granted there.
         """
         claim = self.pending.pop(nonce, None)
-        if claim is not None and self._may_be_written(claim.record):
-            self.changes[nonce] = _released(claim.record)
+        if claim is None or claim.record.instance != self.instance:
+            return
+        if nonce in self._elsewhere or self._may_be_written(claim.record):
+            self.release(claim.record)
+
+    def release(self, record: ClaimRecord) -> None:
+        """Release an own claim under which nothing runs or ran.
+
+        A write by which it is claimed may be under way, here or elsewhere, so
+        a write must follow that makes it void.
+        """
+        self._queue(released_record(record))
+        self._must_write = True
+
+    def disown(self, nonce: str) -> None:
+        """Release an own claim that another instance was granted too late."""
+        record = self._elsewhere.pop(nonce, None)
+        if record is not None and nonce not in self.pending:
+            self.release(record)
 
     def end(self, record: ClaimRecord) -> bool:
         """Queue the outcome of a claim; verdict *not run* releases it.
@@ -145,11 +142,12 @@
         self.active.discard(record.nonce)
         if len(self.changes) >= MAX_QUEUED_OUTCOMES:
             return False
-        self.changes[record.nonce] = record
+        self._queue(record)
         return True
 
     def next_step(self, wall: float) -> Step | None:
         """Return what to do for the claims and outcomes that wait, if any."""
+        self._steps += 1
         self._step = self._choose_step(wall)
         return self._step
 
@@ -209,6 +207,15 @@
         """Take note that an incarnation, and any before it, runs no more."""
         self.gone[instance] = max(incarnation, self.gone.get(instance, 0))
 
+    def _queue(self, change):
+        self.changes[change.nonce] = change
+        self._queued_at[change.nonce] = self._steps
+
+    def _note_elsewhere(self, record):
+        self._elsewhere[record.nonce] = record
+        while len(self._elsewhere) > MAX_ELSEWHERE:
+            self._elsewhere.popitem(last=False)
+
     def _choose_step(self, wall):
         if not self.pending and not self.changes:
             return None
@@ -223,11 +230,10 @@
         state = self._wanted(wall)
         # A write with an unknown result may be under way still: only a later
         # version makes it void.
-        if state == self._state() and self._unsure_version != self.version:
-            if self.pending:
-                return ReadShard()
-            self.changes.clear()
-            return None
+        void = self._unsure_version != self.version and not self._must_write
+        if state == self._state() and void:
+            # A change that fits nothing known may fit what another has written.
+            return ReadShard()
         return WriteShard(state, self.version)
 
     def _is_outdated(self, wall):
@@ -265,6 +271,7 @@
     def _take(self, state, version):
         if isinstance(self._step, WriteShard) and state is self._step.state:
             self._seal = None
+            self._must_write = False
         self._step = None
         self.records = dict(state.records)
         self.segments.replace(state.sealed)
@@ -272,13 +279,20 @@
             self._unsure_version = None
             self._unsure.clear()
         self.version = version
-        if self._unsure_version is None:
-            self._drop_applied_changes()
+        self._drop_applied_changes()
 
     def _drop_applied_changes(self):
+        void = self._unsure_version is None and not self._must_write
         for nonce, change in list(self.changes.items()):
-            if _is_applied(self.records, change):
+            standing = self.records.get(change.key)
+            if standing is not None and standing.nonce == nonce:
+                applied = standing.state is ClaimState.ENDED
+            else:
+                # The state is older than a change queued since it was asked for.
+                applied = void and self._queued_at[nonce] < self._steps
+            if applied:
                 del self.changes[nonce]
+                del self._queued_at[nonce]
 
     def _local_view(self, record):
         for change in self.changes.values():
@@ -348,8 +362,10 @@
             if standing is None or standing.nonce in self.changes:
                 continue
             del self.pending[nonce]
-            if standing.nonce == nonce:
-                self.active.add(nonce)
+            if _is_granted(standing, claim.record):
+                self._elsewhere.pop(nonce, None)
+                if standing.instance == self.instance:
+                    self.active.add(nonce)
                 settled.append(Settled(nonce, claim))
             else:
                 answer = self._second_arrival(standing, claim.record)
@@ -375,27 +391,8 @@
         return max(1.0, oldest + RETENTION_S + CLOCK_SKEW_S - wall)
 
     def _second_arrival(self, standing, record):
-        if standing.fingerprint != record.fingerprint:
-            return refuse(
-                RefusalReason.KEY_REUSED,
-                "the idempotency key was used with another request",
-            )
-        if standing.state is ClaimState.ENDED:
-            return _recorded(standing)
-        if self._is_lost(standing, record.written_at):
-            return _unknown()
-        return Refusal(
-            RefusalReason.IN_PROGRESS,
-            Verdict.MAY_HAVE_RUN,
-            "a request with this idempotency key is running",
-            IN_PROGRESS_RETRY_S,
-        )
-
-    def _is_lost(self, standing, wall):
-        """Return whether nobody is left to record how a claim's work ended."""
-        if standing.incarnation <= self.gone.get(standing.instance, -1):
-            return True
-        return wall > standing.written_at + MAX_RUN_S
+        gone = standing.incarnation <= self.gone.get(standing.instance, -1)
+        return second_arrival(standing, record, gone)
 
 
 def conflict_delay(conflicts: int, rng: random.Random) -> float:
@@ -404,8 +401,8 @@
     return rng.uniform(0.0, bound)
 
 
-def _released(record):
-    return replace(record, state=ClaimState.ENDED, verdict=Verdict.NOT_RUN)
+def _is_granted(standing, record):
+    return standing.nonce == record.nonce and standing.state is ClaimState.RUNNING
 
 
 def _apply(records, change, size):
@@ -414,6 +411,9 @@
     if standing is None or standing.nonce != change.nonce:
         return 0
     if change.verdict is Verdict.NOT_RUN:
+        # A recorded outcome is never released: it may be told already.
+        if standing.state is ClaimState.ENDED:
+            return 0
         del records[change.key]
         return -standing.size
     if size > BODY_VALUE_BYTES:
@@ -421,30 +421,3 @@
         change = replace(change, body=b"", body_kept=kept)
     records[change.key] = change
     return change.size - standing.size
-
-
-def _is_applied(records, change):
-    standing = records.get(change.key)
-    if standing is None or standing.nonce != change.nonce:
-        return True
-    return change.verdict is not Verdict.NOT_RUN and standing.state is ClaimState.ENDED
-
-
-def _recorded(standing):
-    if standing.verdict is not Verdict.RAN:
-        return _unknown()
-    return RecordedOutcome(
-        standing.request_id,
-        standing.status,
-        standing.content_type,
-        standing.body,
-        standing.body_kept,
-    )
-
-
-def _unknown():
-    return Refusal(
-        RefusalReason.OUTCOME_UNKNOWN,
-        Verdict.MAY_HAVE_RUN,
-        "a request with this idempotency key was started; whether it ran is unknown",
-    )
--- a/src/cassiaford/policy/_claims.py
+++ b/src/cassiaford/policy/_claims.py
@@ -115,6 +115,11 @@
     )
 
 
+def released_record(record: ClaimRecord) -> ClaimRecord:
+    """Return the record that releases a claim, which then counts as not run."""
+    return replace(record, state=ClaimState.ENDED, verdict=Verdict.NOT_RUN)
+
+
 def ended_record(
     claim: Claim,
     verdict: Verdict,
--- a/src/cassiaford/policy/_owners.py
+++ b/src/cassiaford/policy/_owners.py
@@ -64,10 +64,9 @@
         for customer in customers:
             known = self._ranked.get(customer)
             if known is None or any(name in left for _, name in known):
-                candidates = [(score(customer, name), name) for name in instances]
+                candidates = _scored(customer, instances)
             else:
-                new = [(score(customer, name), name) for name in joined]
-                candidates = known + new
+                candidates = known + _scored(customer, joined)
             ranked[customer] = sorted(candidates, reverse=True)[: self.count]
         self._ranked = ranked
 
@@ -81,6 +80,10 @@
         return 1.0 / len(owners) if instance in owners else 0.0
 
 
-def score(customer: str, instance: str) -> int:
+def rendezvous_score(customer: str, instance: str) -> int:
     """Return the rank of an instance for a customer; the highest is first."""
     return xxhash.xxh3_64_intdigest(f"{customer}/{instance}".encode())
+
+
+def _scored(customer, names):
+    return [(rendezvous_score(customer, name), name) for name in names]
--- a/src/cassiaford/policy/_shares.py
+++ b/src/cassiaford/policy/_shares.py
@@ -17,7 +17,13 @@
 import itertools
 from collections.abc import Iterable, Mapping
 
-from cassiaford.policy._owners import OWNERS, Holder, Ledger, OwnerTable, score
+from cassiaford.policy._owners import (
+    OWNERS,
+    Holder,
+    Ledger,
+    OwnerTable,
+    rendezvous_score,
+)
 from cassiaford.policy._share import LOAN_MARGIN_S, LOAN_S, Limit, Share
 from cassiaford.policy._share_messages import (
     Ask,
@@ -324,7 +330,7 @@
         if not self.ledger.epoch:
             # Others each time, since some may not know it either.
             salt = f"{own}/{self._poll_number}"
-            ranked = sorted(peers, key=lambda name: score(salt, name))
+            ranked = sorted(peers, key=lambda name: rendezvous_score(salt, name))
             return [name for name in ranked if name != own][:PEERS_TO_ASK]
         if self.suspended:
             return [name for name in self._names() if name != own]
