--- /dev/null
+++ b/bench/rates_slopes.py
@@ -0,0 +1,94 @@
+"""What rate shares cost an instance, at three sizes of the fleet.
+
+Run as ``python -m bench.rates_slopes``. Sizes of state and messages are
+deterministic; the time to take in a new ledger depends on the machine.
+"""
+
+import json
+import pathlib
+import time
+import tracemalloc
+from dataclasses import asdict, dataclass
+
+from cassiaford.fleet._rates_codec import encode_ledger, encode_message
+from cassiaford.policy import (
+    Ask,
+    Grant,
+    Holder,
+    Ledger,
+    Limit,
+    Poll,
+    Report,
+    ShareBook,
+)
+
+SIZES = ((7, 5), (70, 760), (370, 4000))
+RESULTS = pathlib.Path("bench-results")
+
+
+@dataclass(frozen=True)
+class Slope:
+    """The cost of rate shares for one instance at one size."""
+
+    instances: int
+    customers: int
+    owned_customers: int
+    state_bytes: int
+    bytes_per_customer: float
+    adopt_ms: float
+    tick_ms: float
+    ledger_bytes: int
+    ask_bytes: int
+    grant_bytes: int
+    poll_bytes: int
+    report_bytes: int
+
+
+def measure(instances: int, customers: int) -> Slope:
+    """Return the cost at one size."""
+    holders = tuple(Holder(f"entry-{n}", 1) for n in range(instances))
+    limits = {f"customer-{n}": Limit(1e4, 2e4) for n in range(customers)}
+    tracemalloc.start()
+    book = ShareBook("entry-0", 1, 0.0)
+    book.configure(limits, 0.0)
+    book.adopt(Ledger(1, holders[:-1]), 0.0)
+    started = time.perf_counter()
+    book.adopt(Ledger(2, holders), 0.0)
+    adopt_s = time.perf_counter() - started
+    for name in limits:
+        if book.table.fraction(name, "entry-0"):
+            book.charge(name, 1.0, 0.0)
+    state_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    started = time.perf_counter()
+    book.tick(0.05)
+    tick_s = time.perf_counter() - started
+    return Slope(
+        instances=instances,
+        customers=customers,
+        owned_customers=len(book.shares),
+        state_bytes=state_bytes,
+        bytes_per_customer=round(state_bytes / customers, 1),
+        adopt_ms=round(adopt_s * 1000, 2),
+        tick_ms=round(tick_s * 1000, 2),
+        ledger_bytes=len(encode_ledger(Ledger(2, holders))),
+        ask_bytes=len(encode_message(Ask("customer-1", 1000, 500.0))),
+        grant_bytes=len(encode_message(Grant("customer-1", 1000, 500.0, 10.0))),
+        poll_bytes=len(encode_message(Poll(10, 2))),
+        report_bytes=len(encode_message(Report(10, 2, True))),
+    )
+
+
+def main() -> None:
+    """Print the slopes as a table and write them as JSON."""
+    slopes = [measure(instances, customers) for instances, customers in SIZES]
+    print(" | ".join(asdict(slopes[0])))
+    for slope in slopes:
+        print(" | ".join(str(value) for value in asdict(slope).values()))
+    RESULTS.mkdir(exist_ok=True)
+    rows = [asdict(slope) for slope in slopes]
+    (RESULTS / "rates_slopes.json").write_text(json.dumps(rows, indent=1), "utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cassiaford/fleet/_claims.py
+++ b/src/cassiaford/fleet/_claims.py
@@ -24,7 +24,7 @@
 from cassiaford.timeline import Journal, Subject
 from cassiaford.verdict import Refusal, RefusalReason
 
-SHARDS = 16
+SHARDS = 4
 
 
 class ClaimService(ABC):
--- a/src/cassiaford/policy/_claim_shard.py
+++ b/src/cassiaford/policy/_claim_shard.py
@@ -34,7 +34,7 @@
 BODY_VALUE_BYTES = 600_000
 CLAIM_VALUE_BYTES = 800_000
 # Claims wait this long for others to share their write, outcomes longer.
-GROUP_WINDOW_S = 0.003
+GROUP_WINDOW_S = 0.005
 OUTCOME_WINDOW_S = 0.1
 # Bounds the random delay before a write that lost to another is made again.
 CONFLICT_DELAY_S = 0.004
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,6 +6,7 @@
 import unittest
 from dataclasses import dataclass, field
 
+from bench.claims import Simulation
 from cassiaford.fleet import create_claims, shard_of
 from cassiaford.fleet._claim_messages import (
     ClaimAnswered,
@@ -330,6 +331,14 @@
         self.assertGreater(checked, 20)
 
 
+class ClaimCostTest(unittest.TestCase):
+    def test_forwarded_claims_share_their_writes(self):
+        result = Simulation("forwarded", 100, seed=1).run()
+        self.assertLessEqual(result.writes_per_claim, 1.1)
+        self.assertLessEqual(result.conflicts_per_claim, 0.05)
+        self.assertEqual(result.refused, 0)
+
+
 class ShardBookTest(unittest.TestCase):
     def book(self):
         book = ShardBook("00", "entry-1", 2)
