--- a/src/cassiaford/fleet/_claim_forwarding.py
+++ b/src/cassiaford/fleet/_claim_forwarding.py
@@ -32,6 +32,8 @@
 
 # Without an answer in this time an instance claims by itself.
 ANSWER_TIMEOUT_S = 0.1
+# After that it does without the other instance for so long.
+SILENCE_S = 1.0
 # An outcome that is not confirmed in this time is recorded here instead.
 END_TIMEOUT_S = 0.5
 
@@ -92,6 +94,7 @@
         self.undecoded = 0
         self._waiters = {}
         self._ends = {}
+        self._silent_until = {}
         self._lock = threading.Lock()
         self._stopped = threading.Event()
         self._thread = threading.Thread(
@@ -104,7 +107,9 @@
         """Return the other instance that writes a shard, None if it is this one."""
         names = [m.instance for m in self.transport.members() if not m.leaving]
         best = max(names, key=lambda n: rendezvous_score(shard, n), default=None)
-        return None if best == self.instance else best
+        if best == self.instance or self._is_silent(best):
+            return None
+        return best
 
     def claim(self, home: str, shard: str, record: ClaimRecord) -> ClaimAnswer | None:
         """Forward a claim; return None if no answer came in time."""
@@ -117,6 +122,7 @@
         with self._lock:
             del self._waiters[record.nonce]
         if waiter.answered is None:
+            self._silent_until[home] = self.clock() + SILENCE_S
             return None
         return waiter.answered.answer or Claim(shard, record, start_by)
 
@@ -132,6 +138,9 @@
         self._thread.join(1.0)
         self._record_unconfirmed(-1.0)
 
+    def _is_silent(self, instance):
+        return self.clock() < self._silent_until.get(instance, 0.0)
+
     def _send(self, instance, message: ClaimMessage):
         body = encode_claim_message(message)
         self.transport.send(instance, Channel.CLAIMS, body)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -504,6 +504,13 @@
         self.transports[home.instance].lose = 1
         claim = sender.claim("shop", "key", "f", "r1")
         self.assertIsInstance(claim, Claim)
+        sender.record(claim, Outcome(Verdict.NOT_RUN, 503))
+        self.assertTrue(sender.stop(10.0))
+        self.assertIsInstance(home.claim("shop", "key", "f", "r2"), Claim)
+
+    def test_an_outcome_that_does_not_arrive_is_recorded_by_its_sender(self):
+        sender, home = self.forwarding_pair()
+        claim = sender.claim("shop", "key", "f", "r1")
         self.transports[sender.instance].lose = 1
         sender.record(claim, Outcome(Verdict.NOT_RUN, 503))
         self.assertTrue(sender.stop(10.0))
