--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -32,6 +32,7 @@
     released_record,
     unavailable,
 )
+from cassiaford.policy._departures import DepartureBook
 from cassiaford.policy._owners import Holder, Ledger, OwnerTable, rendezvous_score
 from cassiaford.policy._placement import (
     Placement,
@@ -72,6 +73,7 @@
     "ClaimState",
     "Cleared",
     "Crash",
+    "DepartureBook",
     "CrashReport",
     "GROUP_WINDOW_S",
     "Grant",
