--- a/src/cassiaford/policy/_share.py
+++ b/src/cassiaford/policy/_share.py
@@ -115,6 +115,11 @@
         self._pay_debt()
         self._note_silence(now)
 
+    def is_idle(self) -> bool:
+        """Return whether nothing is lent, borrowed, owed or under way."""
+        under_way = self.loans or self.lent or self.asks or self.returns
+        return not under_way and self.refunds == 0 and self.bucket.level >= 0
+
     def held(self, use_own: bool) -> float:
         """Return the tokens at hand."""
         own = self.bucket.level if use_own else min(0.0, self.bucket.level)
--- a/src/cassiaford/policy/_shares.py
+++ b/src/cassiaford/policy/_shares.py
@@ -39,6 +39,8 @@
 # taken for gone, and waits for word before it uses its shares again.
 PAUSE_S = 2.0
 PEERS_TO_ASK = 3
+SWEEP_S = 10.0
+UNUSED_S = 60.0
 NO_LIMIT = Limit(1.0, 0.0)
 
 
@@ -57,6 +59,8 @@
         self.table = OwnerTable(owners)
         self.limits = {}
         self.shares = {}
+        self._busy = set()
+        self._swept_at = now
         self.founder = False
         self.settled = False
         self.wants_growth = False
@@ -127,9 +131,13 @@
         self._check_pause(now)
         self.last_tick = now
         sends = []
-        for share in self.shares.values():
+        for name in list(self._busy):
+            share = self._share(name, now)
             share.advance(now)
             sends.extend(share.give_back(self._numbers, now))
+            if share.is_idle():
+                self._busy.discard(name)
+        self._drop_unused(now)
         sends.extend(self._poll(peers, now))
         self._grow(now)
         return tuple(sends)
@@ -147,6 +155,7 @@
         self.limits = dict(limits)
         for name in [name for name in self.shares if name not in limits]:
             del self.shares[name]
+            self._busy.discard(name)
         self.table.update(self.limits, self._names())
         for name, limit in self.limits.items():
             if self._owned(name) > 0 or name in self.shares:
@@ -252,8 +261,19 @@
         self._check_pause(now)
         share = self._share(customer, now)
         share.advance(now)
+        self._busy.add(customer)
         return share
 
+    def _drop_unused(self, now):
+        """Forget customers that this instance neither owns nor serves."""
+        if now < self._swept_at + SWEEP_S:
+            return
+        self._swept_at = now
+        for name, share in list(self.shares.items()):
+            unused = share.fraction == 0 and now > share.demand_at + UNUSED_S
+            if unused and name not in self._busy:
+                del self.shares[name]
+
     def _share(self, customer, now):
         share = self.shares.get(customer)
         if share is None:
@@ -318,8 +338,10 @@
         return Poll(self._poll_number, self.ledger.epoch)
 
     def _poll(self, peers, now):
+        if now < self._polled_at + POLL_S:
+            return []
         wanted = self._to_poll(peers)
-        if not wanted or now < self._polled_at + POLL_S:
+        if not wanted:
             return []
         self._polled_at = now
         poll = self._next_poll()
