--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -32,7 +32,6 @@
     released_record,
     unavailable,
 )
-from cassiaford.policy._departures import DepartureBook
 from cassiaford.policy._owners import Holder, Ledger, OwnerTable, rendezvous_score
 from cassiaford.policy._placement import (
     Placement,
@@ -73,7 +72,6 @@
     "ClaimState",
     "Cleared",
     "Crash",
-    "DepartureBook",
     "CrashReport",
     "GROUP_WINDOW_S",
     "Grant",
