--- a/src/cassiaford/fleet/__init__.py
+++ b/src/cassiaford/fleet/__init__.py
@@ -16,8 +16,6 @@
 from cassiaford.fleet._log import (
     Author,
     ConfigurationLog,
-    ConfigurationLogError,
-    EntryError,
     LostRaceError,
     UnknownOutcomeError,
 )
--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -14,13 +14,16 @@
 from cassiaford.policy._claim_shard import (
     GROUP_WINDOW_S,
     OUTCOME_WINDOW_S,
+    START_WITHIN_S,
+    ShardBook,
+    conflict_delay,
+)
+from cassiaford.policy._claim_steps import (
     ReadSegment,
     ReadShard,
     Settled,
-    ShardBook,
     WriteSegment,
     WriteShard,
-    conflict_delay,
 )
 from cassiaford.policy._claims import (
     Claim,
@@ -29,6 +32,7 @@
     ClaimState,
     RecordedOutcome,
     ended_record,
+    released_record,
     unavailable,
 )
 from cassiaford.policy._departures import (
@@ -64,6 +68,7 @@
     Holder,
     Ledger,
     OwnerTable,
+    rendezvous_score,
 )
 from cassiaford.policy._placement import (
     Placement,
@@ -172,6 +177,7 @@
     "Returned",
     "RevisionChange",
     "RevisionPolicy",
+    "START_WITHIN_S",
     "Sealed",
     "Send",
     "SendMessage",
@@ -197,5 +203,7 @@
     "may_resume",
     "next_configuration",
     "rank_entries",
+    "released_record",
+    "rendezvous_score",
     "unavailable",
 ]
