--- a/bench/placement_cases.py
+++ b/bench/placement_cases.py
@@ -72,16 +72,19 @@
     """What was measured of the requests that arrived in a span of time.
 
     `wasted_tokens` counts, for each request, prompt tokens computed again
-    after an engine had computed them. `worst_customer` is the part of the
-    worst-served customer's requests that got their first token within the
-    target of their class, divided by the mean of the customers' parts.
+    after an engine had computed them. `in_time` is the part of the requests
+    that got their first token within the target of their class,
+    `worst_customer` that part for the worst-served customer, divided by the
+    mean of the customers' parts.
     """
 
     requests: int
+    prompt_tokens: int
     hit_rate: float
     wasted_tokens: float
     first_token_p50_s: float
     first_token_p99_s: float
+    in_time: float
     worst_customer: float
     refused: int
     unanswered: int
@@ -143,11 +146,13 @@
     refused = sum(record.refused for record in chosen)
     return Figures(
         requests=len(chosen),
+        prompt_tokens=prompt_tokens,
         hit_rate=cached_tokens / max(1, prompt_tokens),
         wasted_tokens=sum(record.wasted_tokens for record in chosen)
         / max(1, len(chosen)),
         first_token_p50_s=times.get_value_at_percentile(50) / 1e6,
         first_token_p99_s=times.get_value_at_percentile(99) / 1e6,
+        in_time=sum(map(_is_in_time, chosen)) / max(1, len(chosen)),
         worst_customer=_worst_customer(chosen),
         refused=refused,
         unanswered=sum(record.first_token_at is None for record in chosen) - refused,
--- a/bench/placement_report.py
+++ b/bench/placement_report.py
@@ -133,6 +133,7 @@
     print(
         f"{'workload':10}{'scenario':14}{'policy':16}{'hit rate':>9}{'/oracle':>8}"
         f"{'wasted':>8}{'p50 s':>8}{'p99 s':>8}{'/oracle':>8}{'worst':>7}{'refused':>8}"
+        f"{'unanswered':>11}"
     )
     for row in comparison.rows():
         print(_line(row))
@@ -159,4 +160,5 @@
         f"{median('first_token_p99_s'):8.3f}"
         f"{median('first_token_p99_s_to_oracle'):8.2f}"
         f"{median('worst_customer'):7.2f}{median('refused'):8.0f}"
+        f"{median('unanswered'):11.0f}"
     )
--- a/src/cassiaford/policy/_prefix_homes.py
+++ b/src/cassiaford/policy/_prefix_homes.py
@@ -27,10 +27,14 @@
 
 @dataclass(frozen=True)
 class Homes:
-    """The first `needed` servers of a ranking; the others take over from them."""
+    """The homes of a prompt are the first `needed` servers of a ranking.
+
+    The others of the ranking take over from them.
+    """
 
     ranking: Sequence[str] = ()
     needed: int = 0
+    preferred: frozenset[str] = frozenset()
 
 
 class PromptBlocks:
@@ -82,7 +86,7 @@
             needed = min(needed, self._needed(known, len(servers)))
             if needed == 1:
                 break
-        return Homes(ranking, needed)
+        return Homes(ranking, needed, frozenset(ranking[:needed]))
 
     def _needed(self, known: KnownBlock | None, servers: int) -> int:
         if known is None or not self.table.total_weight:
--- a/src/cassiaford/policy/_prefix_placement.py
+++ b/src/cassiaford/policy/_prefix_placement.py
@@ -5,9 +5,10 @@
 Beliefs about caches and queues then choose by expected time.
 """
 
-import math
+import operator
 import random
 from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 from cassiaford.engines import (
     BLOCK_BYTES,
@@ -46,10 +47,22 @@
 RETIRED_S = 60.0
 # Random part of a score, so that instances do not all choose alike.
 JITTER_S = 0.005
-# Expected wait for each slot that a server lacks.
-SLOT_WAIT_S = 0.3
-# Slots that other instances are expected to take before a request arrives.
-SPARE_SLOTS = 3
+# A server with at most this wait has nothing better to do than recompute.
+IDLE_WAIT_S = 0.5
+
+
+class _Choice(NamedTuple):
+    """What sending a request to one backend server would mean."""
+
+    cost: float
+    server: str
+    held_tokens: int
+    wait_s: float
+    expected_s: float
+    full: bool
+
+
+_COST = operator.attrgetter("cost")
 
 
 def create_placement(
@@ -99,26 +112,26 @@
         now: float,
         rng: random.Random,
     ) -> Placement | None:
-        """Return the usable backend server with the lowest expected cost."""
+        """Return the usable backend server with the lowest expected cost.
+
+        Returns None if no server is usable, or if the best one has its fill
+        of waiting requests and no other is idle: computing a prefix again on
+        a busy server would cost all others more than this request gains.
+        """
         prompt = PromptBlocks(request.chain, self.table)
         homes = self.home_finder.find(prompt, servers, now) if servers else Homes()
-        preferred = frozenset(homes.ranking[: homes.needed])
-        best, best_cost = None, math.inf
-        for view in self._candidates(prompt, homes, servers, request, now, rng):
-            name = view.name
-            load = self.loads.get(name) or self._load(name)
-            held = prompt.held(load.bit) * BLOCK_TOKENS
-            missing_s = max(0, request.prompt_tokens - held) / load.tokens_per_s
-            wait_s = self._wait_s(load, view, now)
-            cost = wait_s + RECOMPUTE_WEIGHT * missing_s + JITTER_S * rng.random()
-            if name in preferred:
-                cost -= RECOMPUTE_WEIGHT * missing_s * _home_credit(load, now)
-            if cost < best_cost:
-                best, best_cost = (name, held, wait_s + missing_s), cost
+        choices = [
+            self._choice(request, prompt, view, homes, now, rng)
+            for view in self._candidates(prompt, homes, servers, request, now, rng)
+        ]
+        best = min(choices, key=_COST, default=None)
+        if best is not None and best.full:
+            idle = [choice for choice in choices if choice.wait_s <= IDLE_WAIT_S]
+            best = min(idle, key=_COST, default=None)
         if best is None:
             return None
-        name, held, expected_s = best
-        return Placement(name, min(held, request.prompt_tokens), expected_s)
+        cached = min(best.held_tokens, request.prompt_tokens)
+        return Placement(best.server, cached, best.expected_s)
 
     def started(
         self, placement: Placement, request: PlacementRequest, now: float
@@ -250,10 +263,25 @@
         if known is not None:
             known.holders &= ~bit
 
-    def _wait_s(self, load: ServerLoad, view: ServerView, now: float) -> float:
-        wait_s = load.waiting_tokens(now) / load.tokens_per_s
-        lacking = load.occupied(view.in_flight) + SPARE_SLOTS - view.slots
-        return wait_s + lacking * SLOT_WAIT_S if lacking > 0 else wait_s
+    def _choice(
+        self,
+        request: PlacementRequest,
+        prompt: PromptBlocks,
+        view: ServerView,
+        homes: Homes,
+        now: float,
+        rng: random.Random,
+    ) -> _Choice:
+        name = view.name
+        load = self.loads.get(name) or self._load(name)
+        held = prompt.held(load.bit) * BLOCK_TOKENS
+        missing_s = max(0, request.prompt_tokens - held) / load.tokens_per_s
+        slot_wait_s, full = load.slots_at(view, now)
+        wait_s = load.waiting_tokens(now) / load.tokens_per_s + slot_wait_s
+        cost = wait_s + RECOMPUTE_WEIGHT * missing_s + JITTER_S * rng.random()
+        if name in homes.preferred:
+            cost -= RECOMPUTE_WEIGHT * missing_s * _home_credit(load, now)
+        return _Choice(cost, name, held, wait_s, wait_s + missing_s, full)
 
     def _candidates(
         self,
--- a/src/cassiaford/policy/_server_load.py
+++ b/src/cassiaford/policy/_server_load.py
@@ -3,10 +3,19 @@
 from dataclasses import dataclass
 
 from cassiaford.engines import LoadReport
-from cassiaford.policy._placement import PlacementRequest
+from cassiaford.policy._placement import PlacementRequest, ServerView
 
 # A report describes the backend server as it was about this long ago.
 REPORT_LAG_S = 0.3
+# An older report says nothing of how many slots are taken now.
+REPORT_LIFE_S = 3.0
+# The time for which a request is taken to hold its slot.
+REQUEST_S = 10.0
+# Slots that other instances are expected to take before a request arrives.
+SPARE_SLOTS = 3
+# Requests that a server may have, running and waiting, for each slot. What
+# waits there has priorities but no fair shares; what waits here has both.
+MAX_OCCUPANCY = 1.25
 # Requests with fewer tokens to compute say more of the network than the speed.
 MIN_TOKENS_FOR_SPEED = 2048
 # The learned speed moves by this part towards each speed seen, so that it
@@ -63,9 +72,15 @@
         reported = max(0.0, self.report.queued_tokens - drained)
         return max(self.own_tokens, reported + self.unreported_tokens)
 
-    def occupied(self, in_flight: int) -> int:
-        """Return the requests expected there, of which `in_flight` are ours."""
-        if self.report is None:
+    def slots_at(self, view: ServerView, now: float) -> tuple[float, bool]:
+        """Return the expected wait for a slot, and whether no more may wait."""
+        occupied = self._occupied(view.in_flight, now)
+        lacking = max(0, occupied + SPARE_SLOTS - view.slots)
+        full = occupied >= MAX_OCCUPANCY * view.slots
+        return lacking * REQUEST_S / view.slots, full
+
+    def _occupied(self, in_flight: int, now: float) -> int:
+        if self.report is None or now - self.reported_at > REPORT_LIFE_S:
             return in_flight
         reported = self.report.running + self.report.waiting
         return max(in_flight, reported + self.unreported)
--- /dev/null
+++ b/tests/test_placement_bounds.py
@@ -0,0 +1,55 @@
+"""Regression bounds of placement, from the goals of the bench.
+
+The runs are in virtual time with fixed seeds, so they are the same everywhere.
+"""
+
+import unittest
+from statistics import median
+
+from bench.placement_cases import ENGINE_CRASH, ORACLE, OURS, STEADY, Case, run_case
+from bench.placement_report import (
+    FIRST_TOKEN_GOAL,
+    HIT_RATE_GOAL,
+    WORST_CUSTOMER_GOAL,
+)
+
+SEEDS = (1, 2, 3)
+
+
+class PlacementBoundsTest(unittest.TestCase):
+    def compare(self, workload, scenario, seeds=SEEDS):
+        pairs = [
+            [
+                run_case(Case(policy, workload, scenario, seed)).settled
+                for policy in (OURS, ORACLE)
+            ]
+            for seed in seeds
+        ]
+        hits = median(ours.hit_rate / oracle.hit_rate for ours, oracle in pairs)
+        tails = median(
+            ours.first_token_p99_s / oracle.first_token_p99_s for ours, oracle in pairs
+        )
+        self.assertGreaterEqual(hits, HIT_RATE_GOAL)
+        self.assertLessEqual(tails, FIRST_TOKEN_GOAL)
+        for ours, oracle in pairs:
+            self.assertGreaterEqual(ours.worst_customer, WORST_CUSTOMER_GOAL)
+            self.assertEqual(ours.refused + ours.unanswered, 0)
+            allowed = (1 - HIT_RATE_GOAL) * oracle.prompt_tokens / oracle.requests
+            self.assertLessEqual(ours.wasted_tokens, oracle.wasted_tokens + allowed)
+
+    def test_academy_steady(self):
+        self.compare("academy", STEADY, seeds=SEEDS[:1])
+
+    def test_authority_steady(self):
+        self.compare("authority", STEADY)
+
+    def test_authority_after_an_engine_crash(self):
+        self.compare("authority", ENGINE_CRASH)
+
+    def test_same_seed_gives_the_same_figures(self):
+        case = Case(OURS, "authority", STEADY, SEEDS[0])
+        self.assertEqual(run_case(case), run_case(case))
+
+
+if __name__ == "__main__":
+    unittest.main()
