--- a/src/cassiaford/policy/_prefix_homes.py
+++ b/src/cassiaford/policy/_prefix_homes.py
@@ -15,14 +15,14 @@
 from cassiaford.policy._server_index import ServerIndex, ServerIndexes
 
 MAX_HOMES = 16
-HASH_RANGE = 2**64
-RANK_MARGIN = 3
 # A ranking is worked out anew after this time, for servers that have joined.
 RANKING_LIFE_S = 10.0
 # A longer prefix is a level of its own if it has at most this part of the
 # requests of the shorter one, and at least this many recent requests.
 LEVEL_RATIO = 0.8
 MIN_LEVEL_REQUESTS = 2.0
+# Requests of other prefixes that are assumed before any are seen.
+FEW_REQUESTS = 20.0
 
 
 @dataclass(frozen=True)
@@ -77,31 +77,38 @@
         if not prompt.chain:
             return Homes()
         weight = self.table.weight_at(now)
-        ranking = self._first_level(prompt, servers, now)
-        needed = len(ranking)
+        needed = len(servers)
+        ranking = ()
         for number in _levels(prompt.blocks, weight):
-            if number:
+            if needed > MAX_HOMES or not ranking:
+                ranking = self._ranking(prompt, number, servers, now)
+            else:
                 ranking = _narrowed(prompt.chain[number], ranking, needed)
             known = prompt.blocks[number]
-            needed = min(needed, self._needed(known, len(servers)))
+            needed = min(needed, self._needed(known, len(servers), weight))
             if needed == 1:
                 break
         return Homes(ranking, needed, frozenset(ranking[:needed]))
 
-    def _needed(self, known: KnownBlock | None, servers: int) -> int:
-        if known is None or not self.table.total_weight:
+    def _needed(self, known: KnownBlock | None, servers: int, weight: float) -> int:
+        if known is None:
             return 1
-        return 1 + int(known.weight / self.table.total_weight * servers)
-
-    def _first_level(
-        self, prompt: PromptBlocks, servers: Sequence[ServerView], now: float
+        # A share says little before some requests have been seen.
+        total = self.table.total_weight + FEW_REQUESTS * weight
+        return 1 + int(known.weight / total * servers)
+
+    def _ranking(
+        self,
+        prompt: PromptBlocks,
+        number: int,
+        servers: Sequence[ServerView],
+        now: float,
     ) -> Sequence[str]:
-        known = prompt.blocks[0]
+        block, known = prompt.chain[number], prompt.blocks[number]
         if known is None:
-            return rank(prompt.chain[0], self.indexes.index_of(servers, now))
+            return rank(block, self.indexes.index_of(servers, now))
         if self._is_stale(known, servers, now):
-            index = self.indexes.fresh_index_of(servers, now)
-            known.ranking = rank(prompt.chain[0], index)
+            known.ranking = rank(block, self.indexes.fresh_index_of(servers, now))
             known.ranked_at = now
         return known.ranking
 
@@ -117,26 +124,29 @@
 
 
 def rank(block: int, index: ServerIndex) -> list[str]:
-    """Return the first backend servers in rendezvous order for a block."""
-    digest = xxhash.xxh3_64_intdigest
-    weights = [digest(name, block) for name in index.encoded]
-    # Hashes are spread evenly, so that few lie above this and enough do.
-    floor = HASH_RANGE - HASH_RANGE * RANK_MARGIN * MAX_HOMES // len(weights)
-    pairs = zip(weights, index.names, strict=True)
-    highest = [pair for pair in pairs if pair[0] > floor]
-    if len(highest) < MAX_HOMES:
-        highest = zip(weights, index.names, strict=True)
-    return [name for _, name in sorted(highest, reverse=True)[:MAX_HOMES]]
+    """Return the first backend servers in rendezvous order for a block.
+
+    Where there are many, groups of them are ranked first, so that a few have
+    to be hashed and not all.
+    """
+    ranking = []
+    groups = sorted(index.groups, key=lambda group: _digest(group.key, block))
+    for group in groups:
+        ranking.extend(sorted(group.names, key=lambda name: _digest(name, block)))
+        if len(ranking) >= MAX_HOMES:
+            break
+    return [name.decode() for name in ranking[:MAX_HOMES]]
 
 
 def _narrowed(block: int, ranking: Sequence[str], needed: int) -> list[str]:
-    digest = xxhash.xxh3_64_intdigest
-    homes = sorted(
-        ranking[:needed], key=lambda name: digest(name.encode(), block), reverse=True
-    )
+    homes = sorted(ranking[:needed], key=lambda name: _digest(name.encode(), block))
     return homes + list(ranking[needed:])
 
 
+def _digest(name: bytes, block: int) -> int:
+    return xxhash.xxh3_64_intdigest(name, block)
+
+
 def _levels(blocks: Sequence[KnownBlock | None], weight: float) -> list[int]:
     # The first block stands for the first level, whatever is known of it.
     levels = [0]
--- a/src/cassiaford/policy/_prefix_placement.py
+++ b/src/cassiaford/policy/_prefix_placement.py
@@ -239,10 +239,13 @@
         if retired_at is not None and now - retired_at < RETIRED_S:
             return False
         load = self._load(server)
-        former = load.enter(incarnation)
-        if former is not None:
-            self._retire(server, former)
+        if incarnation != load.incarnation:
+            if load.incarnation is not None:
+                self._retire(server, load.incarnation)
+            # Also at the first report: what was believed before it may be of
+            # an incarnation that had ended by then.
             self.table.drop_holder(load.bit)
+            load.enter(incarnation)
         return True
 
     def _retire(self, server: str, incarnation: str) -> None:
--- a/src/cassiaford/policy/_server_index.py
+++ b/src/cassiaford/policy/_server_index.py
@@ -1,27 +1,41 @@
 """Finding the view of a backend server by its name, without a scan a call."""
 
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+import xxhash
 
 from cassiaford.policy._placement import ServerView
 
+# More backend servers than this are ranked in groups.
+UNGROUPED_SERVERS = 128
+GROUPS = 32
 # An index made this lately may stand for the set as it is now.
 FRESH_S = 5.0
 # Sets of backend servers, one for each model, whose order is remembered.
 MAX_KNOWN_SETS = 64
 
 
+@dataclass(frozen=True)
+class ServerGroup:
+    """Names of backend servers, as bytes for hashing, and the group's own key."""
+
+    key: bytes
+    names: list[bytes]
+
+
 class ServerIndex:
     """The order in which a set of backend servers was last given.
 
-    `encoded` holds the names as bytes, for hashing. What is found is checked
-    against the sequence at hand, so an order that has changed does no harm.
+    What is found is checked against the sequence at hand, so an order that
+    has changed does no harm. A name always falls into the same group of as
+    many, so that a server that joins or leaves does not move the others.
     """
 
     def __init__(self, servers: Sequence[ServerView], made_at: float):
         self.made_at = made_at
-        self.names = [view.name for view in servers]
-        self.encoded = [name.encode() for name in self.names]
-        self.positions = {name: number for number, name in enumerate(self.names)}
+        self.positions = {view.name: number for number, view in enumerate(servers)}
+        self.groups = _grouped([name.encode() for name in self.positions])
 
     def find(self, name: str, servers: Sequence[ServerView]) -> ServerView | None:
         """Return the view of a name, None if it is absent or has moved."""
@@ -72,3 +86,11 @@
 
 def _signature(servers: Sequence[ServerView]) -> tuple[int, str, str]:
     return len(servers), servers[0].name, servers[-1].name
+
+
+def _grouped(names: Sequence[bytes]) -> list[ServerGroup]:
+    count = GROUPS if len(names) > UNGROUPED_SERVERS else 1
+    groups = [ServerGroup(b"group-%d" % number, []) for number in range(count)]
+    for name in names:
+        groups[xxhash.xxh3_64_intdigest(name) % count].names.append(name)
+    return groups
--- a/src/cassiaford/policy/_server_load.py
+++ b/src/cassiaford/policy/_server_load.py
@@ -123,14 +123,10 @@
         highest = self.assumed_tokens_per_s * MAX_SPEED_FACTOR
         self.tokens_per_s = min(highest, max(lowest, speed))
 
-    def enter(self, incarnation: str) -> str | None:
-        """Go over to an incarnation; return the former one if it has ended."""
-        former = self.incarnation
-        if incarnation == former:
-            return None
-        self.incarnation = incarnation
-        if former is not None:
+    def enter(self, incarnation: str) -> None:
+        """Go over to another incarnation."""
+        if self.incarnation is not None:
             self.report = None
             self.listening_since = None
             self.tokens_per_s = self.assumed_tokens_per_s
-        return former
+        self.incarnation = incarnation
