--- a/src/cassiaford/fleet/_suspects.py
+++ b/src/cassiaford/fleet/_suspects.py
@@ -52,6 +52,10 @@
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="suspects", daemon=True)
 
+    def has_suspects(self) -> bool:
+        """Return whether any request is under suspicion."""
+        return bool(self.book.suspicions)
+
     def is_refused(self, fingerprint: str) -> bool:
         """Return whether a request has been present at two crashes."""
         with self._lock:
--- a/src/cassiaford/instance/_acceptance.py
+++ b/src/cassiaford/instance/_acceptance.py
@@ -4,9 +4,8 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-import xxhash
-
 from cassiaford.fleet import ClaimService
+from cassiaford.instance._fingerprint import fingerprint
 from cassiaford.instance._http import Exchange
 from cassiaford.pipeline import AdmittedRequest, Dispatcher, Header, Outcome
 from cassiaford.pipeline._admit import IDEMPOTENCY_HEADER
@@ -59,7 +58,7 @@
                 f" Idempotency-Key of 1 to {MAX_IDEMPOTENCY_KEY_LENGTH} characters",
             )
         return self.claims.claim(
-            request.customer_name, key, _fingerprint(caller), request.request_id
+            request.customer_name, key, fingerprint(request), request.request_id
         )
 
     def _submit_claimed(self, request, claim, exchange):
@@ -73,13 +72,6 @@
         self.dispatcher.submit(claimed, exchange.detach(), settle)
 
 
-def _fingerprint(caller):
-    digest = xxhash.xxh3_128()
-    for part in (caller.method.encode(), caller.target.encode(), caller.body):
-        digest.update(len(part).to_bytes(8, "big") + part)
-    return digest.hexdigest()
-
-
 def _replay(outcome, exchange):
     headers = [
         Header(VERDICT_HEADER, Verdict.RAN.value),
--- a/src/cassiaford/instance/_instance.py
+++ b/src/cassiaford/instance/_instance.py
@@ -5,8 +5,14 @@
 import time
 
 from cassiaford.engines import create_engine_control, create_poller
-from cassiaford.fleet import create_claims, create_fleet, create_rate_limiter
+from cassiaford.fleet import (
+    create_claims,
+    create_fleet,
+    create_rate_limiter,
+    create_suspects,
+)
 from cassiaford.instance._acceptance import Acceptor
+from cassiaford.instance._crashes import CrashWatch
 from cassiaford.instance._handler import RequestHandler
 from cassiaford.instance._http import CallerServer
 from cassiaford.instance._local import InstanceView, LocalEndpoints
@@ -84,6 +90,7 @@
         self.journal.record(Event.INSTANCE_STARTED, incarnation=self.incarnation)
         self.fleet.start()
         self.limiter.start()
+        self.suspects.start()
         self.dispatcher.start()
         self.poller.start()
         self._wait_for_configuration()
@@ -125,6 +132,7 @@
         self.claims.stop(STOP_TIMEOUT_S)
         self.limiter.leave()
         self.limiter.stop()
+        self.suspects.stop()
         self.fleet.stop()
 
     def _create_fleet(self):
@@ -139,7 +147,14 @@
             time.monotonic,
         )
         self.claims = create_claims(
-            key_value, self.journal, settings.instance, self.incarnation
+            key_value,
+            self.journal,
+            settings.instance,
+            self.incarnation,
+            transport=self.fleet.transport,
+        )
+        self.suspects = create_suspects(
+            self.fleet.transport, self.journal, settings.instance
         )
         self.limiter = create_rate_limiter(
             key_value,
@@ -154,25 +169,30 @@
 
     def _create_dispatch(self):
         settings = self.settings
+        self.crashes = CrashWatch(self.suspects)
         self.dispatcher = create_dispatcher(
             settings.limits,
             self._current,
             create_placement(),
             self.journal,
             random.Random(f"{settings.instance}/{self.incarnation}/dispatch"),
+            suspects=self.crashes,
             queue=create_fair_queue(settings.limits.queue_length),
         )
+        self.crashes.observer = self.dispatcher
         self.poller = create_poller(
             self._current,
             create_engine_control(POLL_TIMEOUT_S),
-            self.dispatcher,
+            self.crashes,
             self.journal,
             POLL_INTERVAL_S,
         )
 
     def _create_front(self):
         settings = self.settings
-        settler = Settler(self.limiter, self.metrics, self.journal)
+        settler = Settler(
+            self.limiter, self.metrics, self.journal, self.crashes.completed
+        )
         authenticate = AuthenticateFilter(self._current, self._is_fresh)
         local = LocalEndpoints(
             self,
--- a/src/cassiaford/pipeline/_dispatch.py
+++ b/src/cassiaford/pipeline/_dispatch.py
@@ -81,7 +81,7 @@
         self.suspects = suspects
         self.clock = clock
         self.waiting = WaitingJobs(
-            settings, configuration, placement, queue, rng, clock()
+            settings, configuration, placement, queue, rng, suspects, clock()
         )
         self.health = self.waiting.health
         self.jobs = set()
@@ -195,17 +195,21 @@
         event = Event.REQUEST_RETRIED if job.resume_at is None else Event.STREAM_RESUMED
         self.journal.record(event, self._subject(job), attempts=job.attempts)
         with self._changed:
-            refusal = self.waiting.offer_again(job, self.clock())
+            refusal = self._refuse_suspect(job.request)
+            if refusal is None:
+                refusal = self.waiting.offer_again(job, self.clock())
             self._changed.notify()
         return refusal
 
     def server_failed(self, job: Job, failure: Failure) -> None:
         """Suspect the server if the failure is one of its connection."""
         server = job.server
-        if server is None or not failure.blames_server:
+        if server is None:
             return
-        if self.suspects is not None and failure in CRASHES:
+        if self.suspects is not None and _tells_of_crash(job, failure):
             self.suspects.crashed(job.request, server.name)
+        if not failure.blames_server:
+            return
         with self._changed:
             now = self.clock()
             news = not self.health.suspected(server.name, now)
@@ -220,6 +224,8 @@
         server = job.server
         if server is None:
             return
+        if self.suspects is not None:
+            self.suspects.left(job.request, server.name)
         with self._changed:
             self.health.finished(server.name)
             if answered:
@@ -361,6 +367,17 @@
         )
 
 
+def _tells_of_crash(job, failure):
+    """Return whether a failure looks like the crash of the job's server.
+
+    A broken stream is first resumed; only if the server is gone by then, or
+    no longer knows the stream, did it crash.
+    """
+    if job.resume_at is not None:
+        return failure in (Failure.CONNECT_FAILED, Failure.UNKNOWN_STREAM)
+    return failure in CRASHES and job.progress.received == 0
+
+
 def create_dispatcher(
     settings: LimitSettings,
     configuration: Callable[[], Configuration],
--- a/src/cassiaford/pipeline/_settle.py
+++ b/src/cassiaford/pipeline/_settle.py
@@ -1,5 +1,7 @@
 """Settle: what is done once a request has ended, however it ended."""
 
+from collections.abc import Callable
+
 from cassiaford.logs import Event
 from cassiaford.metrics import Counter, Label, Metrics, Quantity
 from cassiaford.pipeline._admit import Limiter
@@ -9,17 +11,29 @@
 
 
 class Settler:
-    """Gives back unused tokens and records how requests ended."""
+    """Gives back unused tokens and records how requests ended.
+
+    `completed` is told of each request that has run to its end.
+    """
 
-    def __init__(self, limiter: Limiter, metrics: Metrics, journal: Journal):
+    def __init__(
+        self,
+        limiter: Limiter,
+        metrics: Metrics,
+        journal: Journal,
+        completed: Callable[[AdmittedRequest], None],
+    ):
         self.limiter = limiter
         self.metrics = metrics
         self.journal = journal
+        self.completed = completed
 
     def settle(self, request: AdmittedRequest, outcome: Outcome) -> None:
         """Settle a request that was admitted."""
         self._give_back(request, outcome)
         self._measure(request, outcome)
+        if outcome.verdict is Verdict.RAN:
+            self.completed(request)
         subject = Subject(
             request.request_id, request.customer_name, ",".join(outcome.servers)
         )
--- a/src/cassiaford/pipeline/_suspects.py
+++ b/src/cassiaford/pipeline/_suspects.py
@@ -16,3 +16,17 @@
     @abstractmethod
     def crashed(self, request: AdmittedRequest, server: str) -> None:
         """Take note that a server's connection broke while it ran a request."""
+
+    def avoided(self, request: AdmittedRequest) -> frozenset[str]:
+        """Return the servers that must not run a request now.
+
+        A suspect must not run beside another one, so that the next crash
+        tells the guilty from those that were merely beside it.
+        """
+        return frozenset()
+
+    def sent(self, request: AdmittedRequest, server: str) -> None:
+        """Take note that a request was sent to a server."""
+
+    def left(self, request: AdmittedRequest, server: str) -> None:
+        """Take note that a request no longer runs on a server."""
--- a/src/cassiaford/pipeline/_waiting.py
+++ b/src/cassiaford/pipeline/_waiting.py
@@ -10,6 +10,7 @@
 from cassiaford.config import BackendServer, Configuration
 from cassiaford.pipeline._job import Job
 from cassiaford.pipeline._refusals import late_refusal, no_server_refusal
+from cassiaford.pipeline._suspects import SuspectRegister
 from cassiaford.policy import PlacementPolicy, RequestQueue, RetryBudget, ServerHealth
 from cassiaford.settings import LimitSettings
 from cassiaford.verdict import Refusal
@@ -32,6 +33,7 @@
         placement: PlacementPolicy,
         queue: RequestQueue,
         rng: random.Random,
+        suspects: SuspectRegister | None,
         now: float,
     ):
         self.settings = settings
@@ -39,6 +41,7 @@
         self.placement = placement
         self.queue = queue
         self.rng = rng
+        self.suspects = suspects
         self.health = ServerHealth()
         self.budget = RetryBudget(now)
         self.queued = {}
@@ -106,7 +109,7 @@
 
     def _place(self, job, now):
         """Choose a server for a job; the choice is made again at each look."""
-        servers = self._servers(job)
+        servers = self._allowed_servers(job)
         views = self.health.views(servers, now)
         request = job.placement_request()
         placement = self.placement.place(request, views, now, self.rng)
@@ -115,8 +118,18 @@
         job.sent_to(_named(servers, placement.server))
         self.health.started(placement.server)
         self.placement.started(placement, request, now)
+        if self.suspects is not None:
+            self.suspects.sent(job.request, placement.server)
         return True
 
+    def _allowed_servers(self, job):
+        """Return the servers that may take a job now."""
+        servers = self._servers(job)
+        if self.suspects is None:
+            return servers
+        avoided = self.suspects.avoided(job.request)
+        return tuple(server for server in servers if server.name not in avoided)
+
     def _servers(self, job):
         """Return the servers that could take a job."""
         configuration = self.configuration()
