--- a/src/cassiaford/policy/_share.py
+++ b/src/cassiaford/policy/_share.py
@@ -8,9 +8,9 @@
 from cassiaford.policy._owners import Holder
 from cassiaford.policy._share_messages import Ask, Grant, Returned, Send
 
-LOAN_S = 1.0
+LOAN_S = 0.3
 # The owner counts a loan this much longer, for clocks that run apart.
-LOAN_MARGIN_S = 0.1
+LOAN_MARGIN_S = 0.05
 # A loan that was not drawn on for this long is returned.
 IDLE_LOAN_S = 0.05
 # An owner that has not answered for this long is taken to have nothing.
--- a/src/cassiaford/policy/_shares.py
+++ b/src/cassiaford/policy/_shares.py
@@ -2,10 +2,10 @@
 
 Each customer's rate and burst are split evenly over a few owners. Tokens
 follow demand by loans between instances: a loan moves tokens, and with them
-as much of the burst, for LOAN_S. The owner deducts before it sends, so a lost
-message loses tokens and never makes any; the borrower's time runs from its
-request and the owner's from its answer, so the borrower's ends first. A loan
-that is used up or idle is returned with a later message.
+as much of the burst, for a fraction of a second. The owner deducts before it
+sends, so a lost message loses tokens and never makes any; the borrower's time
+runs from its request and the owner's from its answer, so the borrower's ends
+first. A loan that is used up or idle is returned with a later message.
 
 A ledger in the key-value service names the incarnations that may own shares,
 and nothing else: it is written when one joins, leaves, or is certainly gone.
@@ -17,6 +17,11 @@
 import itertools
 from collections.abc import Iterable, Mapping
 
+from cassiaford.policy._ledger_reports import (
+    POLLS_AT_ONCE,
+    LedgerReports,
+    names_of,
+)
 from cassiaford.policy._owners import (
     OWNERS,
     Holder,
@@ -34,11 +39,13 @@
     ShareMessage,
 )
 
-POLL_S = 0.5
 # An instance whose clock jumped by more than this was paused: it may have been
 # taken for gone, and waits for word before it uses its shares again.
 PAUSE_S = 2.0
 PEERS_TO_ASK = 3
+LOANS_LAPSED_S = LOAN_S + 2 * LOAN_MARGIN_S
+# A customer whose limits have not arrived yet may try again after this time.
+UNKNOWN_RETRY_S = 1.0
 SWEEP_S = 10.0
 UNUSED_S = 60.0
 NO_LIMIT = Limit(1.0, 0.0)
@@ -68,13 +75,8 @@
         self.left = False
         self.gone = {}
         self.last_tick = now
-        self._reports = {}
-        self._reported_at = None
-        self._confirmed_by = set()
+        self.reports = LedgerReports(self.holder, now)
         self._woke_at = now
-        self._polled_at = now - POLL_S
-        self._poll_number = 0
-        self._first_valid_poll = 0
         self._numbers = itertools.count(1)
         self._last_asks = {}
 
@@ -104,6 +106,8 @@
 
     def retry_after(self, customer: str, tokens: float, now: float) -> float:
         """Return the seconds until the fleet has so many tokens again."""
+        if customer not in self.limits:
+            return UNKNOWN_RETRY_S
         share = self._current(customer, now)
         return share.wait_for(tokens, not self.suspended, now)
 
@@ -172,12 +176,7 @@
             return False
         self.ledger = ledger
         self.table.update(self.limits, self._names())
-        self._reports = {
-            holder: epoch
-            for holder, epoch in self._reports.items()
-            if holder in ledger.holders
-        }
-        self._reported_at = None
+        self.reports.restart(ledger)
         self.founder = False
         self.settled = False
         for name, share in self.shares.items():
@@ -294,7 +293,7 @@
         return self.table.fraction(customer, self.holder.instance)
 
     def _names(self):
-        return [holder.instance for holder in self.ledger.holders]
+        return names_of(self.ledger.holders)
 
     def _has_to_gain(self):
         return any(self._owned(name) > self._fraction(name) for name in self.limits)
@@ -320,65 +319,44 @@
         report = Report(poll.number, self.ledger.epoch, not self.suspended, ledger)
         sends = [Send(sender.instance, report)]
         if poll.epoch > self.ledger.epoch:
-            sends.append(Send(sender.instance, self._next_poll()))
+            poll = self.reports.next_poll(self.ledger.epoch)
+            sends.append(Send(sender.instance, poll))
         return tuple(sends)
 
     def _on_report(self, sender, report, now):
         if report.ledger is not None:
             self.adopt(report.ledger, now)
-        self._reports[sender] = max(report.epoch, self._reports.get(sender, 0))
-        if report.sure and report.number >= self._first_valid_poll:
-            self._confirmed_by.add(sender)
-        others = len(self.ledger.holders) - 1
-        if self.suspended and 0 < others <= 2 * len(self._confirmed_by):
+        self.reports.note(sender, report)
+        if self.suspended and self.reports.confirmed(self.ledger):
             self.suspended = False
 
-    def _next_poll(self):
-        self._poll_number += 1
-        return Poll(self._poll_number, self.ledger.epoch)
-
     def _poll(self, peers, now):
-        if now < self._polled_at + POLL_S:
-            return []
-        wanted = self._to_poll(peers)
-        if not wanted:
+        wanted = self._to_poll(peers, now)[:POLLS_AT_ONCE]
+        if not wanted or not self.reports.poll_due(now):
             return []
-        self._polled_at = now
-        poll = self._next_poll()
+        poll = self.reports.next_poll(self.ledger.epoch)
         return [Send(instance, poll) for instance in wanted]
 
-    def _to_poll(self, peers):
+    def _to_poll(self, peers, now):
         own = self.holder.instance
         if not self.ledger.epoch:
             # Others each time, since some may not know it either.
-            salt = f"{own}/{self._poll_number}"
+            salt = f"{own}/{now}"
             ranked = sorted(peers, key=lambda name: rendezvous_score(salt, name))
             return [name for name in ranked if name != own][:PEERS_TO_ASK]
         if self.suspended:
             return [name for name in self._names() if name != own]
         if self.wants_growth:
-            return [holder.instance for holder in self._missing_reports()]
+            return names_of(self.reports.missing(self.ledger))
         return []
 
     # Growth and pauses.
 
-    def _missing_reports(self):
-        epoch = self.ledger.epoch
-        return [
-            holder
-            for holder in self.ledger.holders
-            if holder != self.holder and self._reports.get(holder) != epoch
-        ]
-
     def _grow(self, now):
         if not self.wants_growth or self.suspended:
             return
-        if self._missing_reports():
-            self._reported_at = None
-            return
-        if self._reported_at is None:
-            self._reported_at = now
-        if now < self._reported_at + LOAN_S + 2 * LOAN_MARGIN_S:
+        complete_s = self.reports.complete_for(self.ledger, now)
+        if self.reports.complete_since is None or complete_s < LOANS_LAPSED_S:
             return
         self.settled = True
         self.wants_growth = False
@@ -390,7 +368,5 @@
         if now - self.last_tick > PAUSE_S:
             self.suspended = True
             self._woke_at = now
-            self._confirmed_by.clear()
-            self._first_valid_poll = self._poll_number + 1
-            self._polled_at = now - POLL_S
+            self.reports.woke(now)
             self.last_tick = now
