--- a/src/cassiaford/policy/_membership.py
+++ b/src/cassiaford/policy/_membership.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from cassiaford.policy._gossip import GossipQueue
 from cassiaford.policy._member import Member, MemberState, MemberUpdate
@@ -20,6 +20,7 @@
     SendMessage,
     Superseded,
 )
+from cassiaford.policy._probes import ProbeBook
 
 # The bound on updates keeps a message within a datagram.
 MAX_UPDATES = 5
@@ -41,33 +42,6 @@
 FIRST_SYNC_PERIODS = 3
 
 
-@dataclass
-class _Probe:
-    target: str
-    sequence: int
-    started: float
-    indirect: bool = False
-
-
-@dataclass
-class _Relay:
-    instance: str
-    sequence: int
-
-
-@dataclass
-class _State:
-    """What passes with time."""
-
-    last_tick: float
-    next_period: float
-    next_sync: float
-    period: int = 0
-    probe: _Probe | None = None
-    sent: dict[int, float] = field(default_factory=dict)
-    relays: dict[int, _Relay] = field(default_factory=dict)
-
-
 class Membership:
     """The view that one instance has of the fleet.
 
@@ -90,12 +64,14 @@
         self.table = MemberTable(heartbeat_interval_s)
         self.gossip = GossipQueue()
         self.contacts: list[str] = list(self.seeds)
-        self.sequence = rng.getrandbits(30)
+        self.probes = ProbeBook(rng.getrandbits(30))
         self.revision = 0
         self.joined = False
+        self.period = 0
+        self.last_tick = now
+        self.next_period = now
+        self.next_sync = now + FIRST_SYNC_PERIODS * heartbeat_interval_s
         self._order: list[str] = []
-        first_sync = now + FIRST_SYNC_PERIODS * heartbeat_interval_s
-        self._state = _State(now, now, first_sync)
 
     def members(self) -> tuple[Member, ...]:
         """Return the live members, this instance first."""
@@ -116,7 +92,7 @@
         """Do what is due."""
         self._allow_for_pause(now)
         actions = self._probe_indirectly(now)
-        if now >= self._state.next_period:
+        if now >= self.next_period:
             actions += self._end_probe(now)
             actions += self._expire(now)
             actions += self._begin_period(now)
@@ -131,7 +107,7 @@
         for update in message.updates:
             actions += self._merge(update, now, told)
         self.table.note_revision(sender, message.revision)
-        as_of = self._state.sent.get(message.sequence)
+        as_of = self.probes.sent.get(message.sequence)
         if message.kind is not MessageKind.ACK:
             as_of = None
         actions.append(PeerHeard(sender, message.revision, as_of))
@@ -159,15 +135,15 @@
     # Periods and probes.
 
     def _allow_for_pause(self, now):
-        gap = now - self._state.last_tick
-        self._state.last_tick = now
+        gap = now - self.last_tick
+        self.last_tick = now
         if gap > PAUSE_PERIODS * self.interval_s:
             # The answers could not be read meanwhile: blame nobody.
-            self._state.probe = None
+            self.probes.end()
             self.table.postpone_suspicions(gap)
 
     def _probe_indirectly(self, now):
-        probe = self._state.probe
+        probe = self.probes.current
         if probe is None or probe.indirect:
             return []
         if now < probe.started + INDIRECT_AFTER_PERIODS * self.interval_s:
@@ -181,8 +157,7 @@
         ]
 
     def _end_probe(self, now):
-        probe = self._state.probe
-        self._state.probe = None
+        probe = self.probes.end()
         if probe is None:
             return []
         suspicion = self.table.with_state(probe.target, MemberState.SUSPECT)
@@ -196,12 +171,9 @@
         return actions
 
     def _begin_period(self, now):
-        state = self._state
-        state.period += 1
-        state.next_period = now + self.interval_s
-        oldest = now - SENT_PROBES_KEPT_PERIODS * self.interval_s
-        state.sent = {n: sent for n, sent in state.sent.items() if sent >= oldest}
-        state.relays = {n: r for n, r in state.relays.items() if n in state.sent}
+        self.period += 1
+        self.next_period = now + self.interval_s
+        self.probes.forget_before(now - SENT_PROBES_KEPT_PERIODS * self.interval_s)
         actions = self._probe_next(now)
         actions += self._probe_suspects(now)
         actions += self._reach_out(now)
@@ -211,9 +183,7 @@
         target = self._next_target()
         if target is None:
             return []
-        sequence = self._next_sequence(now)
-        self._state.probe = _Probe(target, sequence, now)
-        return [self._send(MessageKind.PING, target, sequence)]
+        return [self._send(MessageKind.PING, target, self.probes.begin(target, now))]
 
     def _probe_suspects(self, now):
         suspects = [member.instance for member in self.table.suspects()]
@@ -221,7 +191,7 @@
             suspects, min(SUSPECTS_PROBED_PER_PERIOD, len(suspects))
         )
         return [
-            self._send(MessageKind.PING, suspect, self._next_sequence(now))
+            self._send(MessageKind.PING, suspect, self.probes.number(now))
             for suspect in chosen
         ]
 
@@ -240,11 +210,11 @@
     def _reach_out(self, now):
         """Try addresses that may lead to members not known as live."""
         live = self.table.live()
-        if self._state.period % SEED_PERIODS == 0 or not live:
+        if self.period % SEED_PERIODS == 0 or not live:
             self.learn_addresses(self.seeds)
         addresses = self.contacts[:CONTACTS_PER_PERIOD]
         del self.contacts[:CONTACTS_PER_PERIOD]
-        if self._state.period % RECONNECT_PERIODS == 0 and self.table.dead():
+        if self.period % RECONNECT_PERIODS == 0 and self.table.dead():
             addresses.append(self.rng.choice(self.table.dead()).peer_address)
         known = {member.peer_address for member in live}
         actions = [
@@ -252,12 +222,12 @@
         ]
         if live and not self.joined:
             helper = self.rng.choice(live).instance
-            sequence = self._next_sequence(now)
+            sequence = self.probes.number(now)
             actions.append(self._send(MessageKind.JOIN, helper, sequence))
         return actions
 
     def _contact(self, address, now):
-        message = self._message(MessageKind.PING, self._next_sequence(now))
+        message = self._message(MessageKind.PING, self.probes.number(now))
         return SendMessage(message, address=address)
 
     # Messages.
@@ -293,19 +263,16 @@
 
     def _sync_if_different(self, sender, message, now):
         """Ask a peer for all that it knows if that is not the same."""
-        if message.digest in (0, self._digest()) or now < self._state.next_sync:
+        if message.digest in (0, self._digest()) or now < self.next_sync:
             return []
-        self._state.next_sync = now + SYNC_PERIODS * self.interval_s
-        return [self._send(MessageKind.JOIN, sender, self._next_sequence(now))]
+        self.next_sync = now + SYNC_PERIODS * self.interval_s
+        return [self._send(MessageKind.JOIN, sender, self.probes.number(now))]
 
     def _digest(self):
         return self.table.digest ^ digest_of(self.own)
 
     def _take_ack(self, sequence):
-        probe = self._state.probe
-        if probe is not None and probe.sequence == sequence:
-            self._state.probe = None
-        relay = self._state.relays.pop(sequence, None)
+        relay = self.probes.answered(sequence)
         if relay is None:
             return []
         return [self._send(MessageKind.ACK, relay.instance, relay.sequence)]
@@ -313,8 +280,7 @@
     def _relay(self, sender, message, now):
         if self.table.get(message.target) is None:
             return []
-        sequence = self._next_sequence(now)
-        self._state.relays[sequence] = _Relay(sender, message.sequence)
+        sequence = self.probes.relay(sender, message.sequence, now)
         return [self._send(MessageKind.PING, message.target, sequence)]
 
     def _sync(self, sender, sequence):
@@ -354,16 +320,11 @@
         chosen = self.rng.sample(instances, min(REFRESH_UPDATES, len(instances)))
         return [self.table.rows[instance].update for instance in chosen]
 
-    def _next_sequence(self, now):
-        self.sequence += 1
-        self._state.sent[self.sequence] = now
-        return self.sequence
-
     def _tell_some(self, now):
         live = [member.instance for member in self.table.live()]
         chosen = self.rng.sample(live, min(LEAVE_FANOUT, len(live)))
         return [
-            self._send(MessageKind.PING, instance, self._next_sequence(now))
+            self._send(MessageKind.PING, instance, self.probes.number(now))
             for instance in chosen
         ]
 
