--- a/src/cassiaford/policy/_block_table.py
+++ b/src/cassiaford/policy/_block_table.py
@@ -17,16 +17,14 @@
     """One block of prompts.
 
     `holders` has a bit set for each backend server that is believed to hold
-    the block. `informed` says whether anything was ever heard about holders.
-    `weight` counts requests with this block, newer ones for more. `ranking`
+    the block. `weight` counts requests with this block, newer ones for more. `ranking`
     caches the backend servers in rendezvous order as of `ranked_at`.
     """
 
-    __slots__ = ("holders", "informed", "ranked_at", "ranking", "weight")
+    __slots__ = ("holders", "ranked_at", "ranking", "weight")
 
     def __init__(self):
         self.holders = 0
-        self.informed = False
         self.weight = 0.0
         self.ranking = ()
         self.ranked_at = 0.0
--- a/src/cassiaford/policy/_prefix_placement.py
+++ b/src/cassiaford/policy/_prefix_placement.py
@@ -25,6 +25,7 @@
     ServerView,
 )
 from cassiaford.policy._prefix_homes import HomeFinder, Homes, PromptBlocks
+from cassiaford.policy._server_beliefs import ServerBeliefs
 from cassiaford.policy._server_load import SentRequest, ServerLoad
 
 BLOCK_TOKENS = BLOCK_BYTES // BYTES_PER_TOKEN
@@ -33,7 +34,6 @@
 # Up to this many backend servers are all scored; of more, only candidates.
 SCORE_ALL_SERVERS = 16
 SPARE_HOMES = 2
-SCORED_HOLDERS = 8
 SAMPLED_SERVERS = 4
 # Computing a token costs later requests too, so it weighs more than a wait.
 RECOMPUTE_WEIGHT = 4.0
@@ -42,9 +42,7 @@
 # After listening this long, a block not heard of is taken to be absent.
 LISTENING_S = 20.0
 # How far a home is preferred where its cache is known to lack the blocks.
-HOME_CREDIT = 0.1
-# Messages of an incarnation that has ended are refused for this long.
-RETIRED_S = 60.0
+HOME_CREDIT = 0.3
 # Random part of a score, so that instances do not all choose alike.
 JITTER_S = 0.005
 # A server with at most this wait has nothing better to do than recompute.
@@ -97,13 +95,9 @@
 
     def __init__(self, table: BlockTable, tokens_per_s: float):
         self.table = table
-        self.tokens_per_s = tokens_per_s
+        self.beliefs = ServerBeliefs(table, tokens_per_s)
         self.home_finder = HomeFinder(table)
-        self.loads = {}
-        self._names = {}
         self._server_of = {}
-        self._retired = {}
-        self._latest = 0.0
 
     def place(
         self,
@@ -137,7 +131,8 @@
         self, placement: Placement, request: PlacementRequest, now: float
     ) -> None:
         """Expect the prompt's blocks on the server and its work before it."""
-        load = self._load(placement.server)
+        self.finished(request.request_id, now)
+        load = self.beliefs.load_of(placement.server)
         tokens = request.prompt_tokens - placement.cached_tokens
         ahead = load.waiting_tokens(now)
         cached = placement.cached_tokens // BLOCK_TOKENS
@@ -152,14 +147,14 @@
 
     def first_token(self, request_id: str, now: float) -> None:
         """Learn the server's speed; its queue is shorter by the prompt."""
-        load = self.loads.get(self._server_of.pop(request_id, None))
+        load = self.beliefs.known(self._server_of.pop(request_id, ""))
         sent = load.remove(request_id) if load else None
         if sent is not None:
             load.learn_speed(sent, now)
 
     def finished(self, request_id: str, now: float) -> None:
         """Drop what was expected of a request that got no first token."""
-        load = self.loads.get(self._server_of.pop(request_id, None))
+        load = self.beliefs.known(self._server_of.pop(request_id, ""))
         sent = load.remove(request_id) if load else None
         if sent is None:
             return
@@ -170,8 +165,8 @@
 
     def observe_load(self, server: str, report: LoadReport, now: float) -> None:
         """Take in a load report, unless an earlier incarnation sent it."""
-        if self._enters(server, report.incarnation, now):
-            self.loads[server].take_report(report, now)
+        if self.beliefs.enter(server, report.incarnation, now):
+            self.beliefs.load_of(server).take_report(report, now)
 
     def observe_events(self, server: str, events: CacheEvents, now: float) -> None:
         """Take in cache events of the incarnation that the last report named.
@@ -180,30 +175,23 @@
         never change a known incarnation. A gap needs no action: a wrong belief
         costs one recomputation, after which it is right.
         """
-        known = self._load(server).incarnation
-        if known is None and not self._enters(server, events.incarnation, now):
+        load = self.beliefs.load_of(server)
+        if load.incarnation is None:
+            self.beliefs.enter(server, events.incarnation, now)
+        if load.incarnation != events.incarnation:
             return
-        if known not in (None, events.incarnation):
-            return
-        load = self.loads[server]
         if load.listening_since is None:
             load.listening_since = now
         for event in events.events:
             if event.kind is CacheEventKind.STORED:
-                self._stored(event.block, load.bit)
+                self.beliefs.stored(event.block, load.bit)
             else:
-                self._evicted(event.block, load.bit)
+                self.beliefs.evicted(event.block, load.bit)
 
     def forget(self, server: str) -> None:
         """Drop every belief about a server that left or came back empty."""
-        load = self.loads.pop(server, None)
-        if load is None:
-            return
-        del self._names[load.bit]
-        self.table.drop_holder(load.bit)
-        if load.incarnation is not None:
-            self._retire(server, load.incarnation)
-        for request_id in load.sent:
+        load = self.beliefs.forget(server)
+        for request_id in load.sent if load else ():
             self._server_of.pop(request_id, None)
 
     @property
@@ -218,54 +206,6 @@
         prompt = PromptBlocks(request.chain, self.table)
         return self.home_finder.find(prompt, servers, now)
 
-    def _load(self, server: str) -> ServerLoad:
-        load = self.loads.get(server)
-        if load is None:
-            bit = self._free_bit()
-            load = ServerLoad(bit, self.tokens_per_s)
-            self.loads[server] = load
-            self._names[bit] = server
-        return load
-
-    def _free_bit(self) -> int:
-        taken = sum(self._names)
-        return ~taken & (taken + 1)
-
-    def _enters(self, server: str, incarnation: str, now: float) -> bool:
-        # Nothing orders two incarnations, so one that ended is remembered for
-        # longer than its messages may be late.
-        self._latest = now
-        retired_at = self._retired.get((server, incarnation))
-        if retired_at is not None and now - retired_at < RETIRED_S:
-            return False
-        load = self._load(server)
-        if incarnation != load.incarnation:
-            if load.incarnation is not None:
-                self._retire(server, load.incarnation)
-            # Also at the first report: what was believed before it may be of
-            # an incarnation that had ended by then.
-            self.table.drop_holder(load.bit)
-            load.enter(incarnation)
-        return True
-
-    def _retire(self, server: str, incarnation: str) -> None:
-        horizon = self._latest - RETIRED_S
-        self._retired = {key: at for key, at in self._retired.items() if at > horizon}
-        self._retired[server, incarnation] = self._latest
-
-    def _stored(self, block: int, bit: int) -> None:
-        known = self.table.find(block)
-        if known is None:
-            if not self.table.has_room:
-                return
-            known = self.table.add(block)
-        known.holders |= bit
-
-    def _evicted(self, block: int, bit: int) -> None:
-        known = self.table.find(block)
-        if known is not None:
-            known.holders &= ~bit
-
     def _choice(
         self,
         request: PlacementRequest,
@@ -276,7 +216,7 @@
         rng: random.Random,
     ) -> _Choice:
         name = view.name
-        load = self.loads.get(name) or self._load(name)
+        load = self.beliefs.load_of(name)
         held = prompt.held(load.bit) * BLOCK_TOKENS
         missing_s = max(0, request.prompt_tokens - held) / load.tokens_per_s
         slot_wait_s, full = load.slots_at(view, now)
@@ -311,21 +251,12 @@
         rng: random.Random,
     ) -> Iterable[ServerView]:
         names = dict.fromkeys(homes.ranking[: homes.needed + SPARE_HOMES])
-        names.update(dict.fromkeys(self._holders(prompt, rng)))
+        names.update(dict.fromkeys(self.beliefs.holders(prompt, rng)))
         found = self.home_finder.indexes.find_all(names, servers, now)
         for view in rng.sample(servers, SAMPLED_SERVERS):
             found[view.name] = view
         return found.values()
 
-    def _holders(self, prompt: PromptBlocks, rng: random.Random) -> list[str]:
-        names = []
-        for length, holders in prompt.runs:
-            if length:
-                room = SCORED_HOLDERS - len(names)
-                bits = _some_bits(holders, room, rng)
-                names.extend(self._names[bit] for bit in bits)
-        return names
-
 
 def _is_usable(view: ServerView, request: PlacementRequest) -> bool:
     if view.suspected or view.in_flight >= view.slots:
@@ -338,15 +269,3 @@
         return COLD_CREDIT
     unheard = 1.0 - (now - load.listening_since) / LISTENING_S
     return max(HOME_CREDIT, COLD_CREDIT * unheard)
-
-
-def _some_bits(bits: int, limit: int, rng: random.Random) -> list[int]:
-    # Begins at a random place, so that the lowest bits are not always taken.
-    upper = bits >> (start := rng.randrange(bits.bit_length())) << start
-    chosen = []
-    for part in (upper, bits ^ upper):
-        while part and len(chosen) < limit:
-            bit = part & -part
-            chosen.append(bit)
-            part ^= bit
-    return chosen
--- a/src/cassiaford/policy/_server_load.py
+++ b/src/cassiaford/policy/_server_load.py
@@ -13,6 +13,9 @@
 REQUEST_S = 10.0
 # Slots that other instances are expected to take before a request arrives.
 SPARE_SLOTS = 3
+# What it costs when every slot is taken; far less while many are free. It
+# spreads hot prefixes before their homes are full.
+CROWDED_S = 2.0
 # Requests that a server may have, running and waiting, for each slot. What
 # waits there has priorities but no fair shares; what waits here has both.
 MAX_OCCUPANCY = 1.25
@@ -77,7 +80,8 @@
         occupied = self._occupied(view.in_flight, now)
         lacking = max(0, occupied + SPARE_SLOTS - view.slots)
         full = occupied >= MAX_OCCUPANCY * view.slots
-        return lacking * REQUEST_S / view.slots, full
+        crowded_s = CROWDED_S * (occupied / view.slots) ** 4
+        return lacking * REQUEST_S / view.slots + crowded_s, full
 
     def _occupied(self, in_flight: int, now: float) -> int:
         if self.report is None or now - self.reported_at > REPORT_LIFE_S:
