--- a/src/cassiaford/policy/_share.py
+++ b/src/cassiaford/policy/_share.py
@@ -14,7 +14,7 @@
 # A loan that was not drawn on for this long is returned.
 IDLE_LOAN_S = 0.05
 # An owner that has not answered for this long is taken to have nothing.
-ANSWER_S = 0.05
+ANSWER_S = 0.1
 SILENT_RETRY_S = 0.5
 # What an owner said of its level is not doubted for this long.
 FRESH_S = 0.02
