--- a/src/cassiaford/fleet/_rates.py
+++ b/src/cassiaford/fleet/_rates.py
@@ -108,6 +108,11 @@
             self.book.mark_gone(instance, incarnation)
         self._kick.set()
 
+    def in_touch(self) -> bool:
+        """Return whether shares can be borrowed from all that hold some."""
+        with self._condition:
+            return self.book.in_touch()
+
     def start(self) -> None:
         """Read the ledger if the service answers, and begin to take part."""
         self.transport.subscribe(Channel.RATES, self._on_message)
--- a/src/cassiaford/instance/_instance.py
+++ b/src/cassiaford/instance/_instance.py
@@ -33,6 +33,8 @@
 POLL_INTERVAL_S = 0.5
 POLL_TIMEOUT_S = 1.0
 READY_CHECK_S = 0.02
+# A holder that is gone never answers; readiness does not wait longer for it.
+SHARES_WAIT_S = 1.0
 STOP_TIMEOUT_S = 5.0
 
 
@@ -93,7 +95,7 @@
         self.suspects.start()
         self.dispatcher.start()
         self.poller.start()
-        self._wait_for_configuration()
+        self._wait_until_ready()
         self.server.start_serving()
         self.is_ready = True
         self.fleet.announce_ready()
@@ -223,9 +225,15 @@
         self.journal.revision = new.revision
         self.limiter.configure(new)
 
-    def _wait_for_configuration(self):
+    def _wait_until_ready(self):
         while not self.fleet.configuration.ready() and not self.stopping.is_set():
             self.stopping.wait(READY_CHECK_S)
+        # A request that comes before the other holders of rate shares are
+        # known would be refused, though its customer has tokens.
+        patience = time.monotonic() + SHARES_WAIT_S
+        while not self.limiter.in_touch() and time.monotonic() < patience:
+            if self.stopping.wait(READY_CHECK_S):
+                return
 
     def _server_failed(self, text):
         self.journal.record(Event.THREAD_FAILED, part="http", text=text)
--- a/src/cassiaford/pipeline/_waiting.py
+++ b/src/cassiaford/pipeline/_waiting.py
@@ -109,7 +109,7 @@
 
     def _place(self, job, now):
         """Choose a server for a job; the choice is made again at each look."""
-        servers = self._allowed_servers(job)
+        servers = self._allowed_servers(job, now)
         views = self.health.views(servers, now)
         request = job.placement_request()
         placement = self.placement.place(request, views, now, self.rng)
@@ -122,10 +122,16 @@
             self.suspects.sent(job.request, placement.server)
         return True
 
-    def _allowed_servers(self, job):
-        """Return the servers that may take a job now."""
+    def _allowed_servers(self, job, now):
+        """Return the servers that may take a job now.
+
+        Where servers are few, suspects are kept apart only until half of their
+        time to wait is over: most crashes are no request's fault, and a
+        request is rather run beside another suspect than refused.
+        """
         servers = self._servers(job)
-        if self.suspects is None:
+        time_left_s = job.deadline - now
+        if self.suspects is None or time_left_s < self.settings.queue_wait_s / 2:
             return servers
         avoided = self.suspects.avoided(job.request)
         return tuple(server for server in servers if server.name not in avoided)
--- a/src/cassiaford/policy/_shares.py
+++ b/src/cassiaford/policy/_shares.py
@@ -242,6 +242,11 @@
             share.fraction = 0.0
             share.resize(now)
 
+    def in_touch(self) -> bool:
+        """Return whether the ledger is settled and all its holders are heard."""
+        known = self.holder in self.ledger.holders
+        return known and self.settled and not self.reports.missing(self.ledger)
+
     def check_pause(self, now: float) -> bool:
         """Return whether the instance was paused and lacks word since."""
         self._check_pause(now)
