--- a/bench/fleet_shares.py
+++ b/bench/fleet_shares.py
@@ -187,6 +187,7 @@
         for sender, message in inbox:
             self.receive(node, sender, message)
         self.send(node, book.tick(self.now, self.nodes))
+        self.expire(node)
         self.retry_waiting(node)
 
     def keep_ledger(self, node, book):
@@ -253,6 +254,7 @@
     def receive(self, node, sender: Holder, message):
         """Hand a message to a book and send its answers."""
         self.send(node, node.book.receive(sender, message, self.now))
+        self.expire(node)
 
     # Requests.
 
