--- a/src/cassiaford/policy/_claim_shard.py
+++ b/src/cassiaford/policy/_claim_shard.py
@@ -3,8 +3,8 @@
 import collections
 import random
 from collections.abc import Mapping
-from dataclasses import replace
 
+from cassiaford.policy._claim_changes import ChangeQueue
 from cassiaford.policy._claim_segments import Sealed, SegmentIndex, ShardState
 from cassiaford.policy._claim_steps import (
     Answers,
@@ -25,13 +25,11 @@
     released_record,
     unavailable,
 )
-from cassiaford.verdict import Verdict
 
 # The first byte must leave within this time of the claim's first write.
 START_WITHIN_S = 60.0
-# Above these sizes in bytes a shard keeps no more bodies, and takes no more
-# claims; outcomes then still fit under the megabyte that a value may have.
-BODY_VALUE_BYTES = 600_000
+# Above this size in bytes a shard takes no more claims; outcomes then still fit
+# under the megabyte that a value may have.
 CLAIM_VALUE_BYTES = 800_000
 # Claims wait this long for others to share their write, outcomes longer.
 GROUP_WINDOW_S = 0.005
@@ -39,7 +37,6 @@
 # Bounds the random delay before a write that lost to another is made again.
 CONFLICT_DELAY_S = 0.004
 MAX_CONFLICT_DELAY_S = 0.064
-MAX_QUEUED_OUTCOMES = 10_000
 # Forwarded claims without an answer of which a late grant is still undone.
 MAX_ELSEWHERE = 1000
 # Ended claims of this size together are sealed in a segment.
@@ -72,7 +69,7 @@
         self.records = {}
         self.segments = SegmentIndex()
         self.pending = {}
-        self.changes = {}
+        self.changes = ChangeQueue()
         self.active = set()
         self.gone = {instance: incarnation - 1}
         self._step = None
@@ -81,8 +78,6 @@
         self._unsure = set()
         self._elsewhere = collections.OrderedDict()
         self._must_write = False
-        self._steps = 0
-        self._queued_at = {}
         self._unsure_version = None
         self._known_at = 0.0
         self._contended_until = 0.0
@@ -124,14 +119,13 @@
         A write by which it is claimed may be under way, here or elsewhere, so
         a write must follow that makes it void.
         """
-        self._queue(released_record(record))
+        self.changes.add(released_record(record))
         self._must_write = True
 
     def disown(self, nonce: str) -> None:
         """Release an own claim that another instance was granted too late."""
-        record = self._elsewhere.pop(nonce, None)
-        if record is not None and nonce not in self.pending:
-            self.release(record)
+        if nonce in self._elsewhere and nonce not in self.pending:
+            self.release(self._elsewhere.pop(nonce))
 
     def end(self, record: ClaimRecord) -> bool:
         """Queue the outcome of a claim; verdict *not run* releases it.
@@ -140,14 +134,14 @@
         the end; then the claim stands, and its outcome is told as unknown.
         """
         self.active.discard(record.nonce)
-        if len(self.changes) >= MAX_QUEUED_OUTCOMES:
+        if self.changes.full:
             return False
-        self._queue(record)
+        self.changes.add(record)
         return True
 
     def next_step(self, wall: float) -> Step | None:
         """Return what to do for the claims and outcomes that wait, if any."""
-        self._steps += 1
+        self.changes.step += 1
         self._step = self._choose_step(wall)
         return self._step
 
@@ -207,10 +201,6 @@
         """Take note that an incarnation, and any before it, runs no more."""
         self.gone[instance] = max(incarnation, self.gone.get(instance, 0))
 
-    def _queue(self, change):
-        self.changes[change.nonce] = change
-        self._queued_at[change.nonce] = self._steps
-
     def _note_elsewhere(self, record):
         self._elsewhere[record.nonce] = record
         while len(self._elsewhere) > MAX_ELSEWHERE:
@@ -279,26 +269,11 @@
             self._unsure_version = None
             self._unsure.clear()
         self.version = version
-        self._drop_applied_changes()
-
-    def _drop_applied_changes(self):
         void = self._unsure_version is None and not self._must_write
-        for nonce, change in list(self.changes.items()):
-            standing = self.records.get(change.key)
-            if standing is not None and standing.nonce == nonce:
-                applied = standing.state is ClaimState.ENDED
-            else:
-                # The state is older than a change queued since it was asked for.
-                applied = void and self._queued_at[nonce] < self._steps
-            if applied:
-                del self.changes[nonce]
-                del self._queued_at[nonce]
+        self.changes.drop_applied(self.records, void)
 
     def _local_view(self, record):
-        for change in self.changes.values():
-            if change.key == record.key and change.verdict is not Verdict.NOT_RUN:
-                return change
-        return self._standing(record)
+        return self.changes.outcome_of(record.key) or self._standing(record)
 
     def _standing(self, record):
         """Return what is known to stand under a claim's key, unless expired."""
@@ -328,8 +303,7 @@
         if self._seal is not None:
             sealed = self._without_sealed(records, sealed)
         size = sum(record.size for record in records.values())
-        for change in self.changes.values():
-            size += _apply(records, change, size)
+        size = self.changes.apply(records, size)
         for claim in self.pending.values():
             if size < CLAIM_VALUE_BYTES and self._is_free(claim.record, records):
                 records[claim.record.key] = claim.record
@@ -370,6 +344,8 @@
             else:
                 answer = self._second_arrival(standing, claim.record)
                 settled.append(Settled(nonce, answer))
+                if nonce in self._elsewhere:
+                    self.release(claim.record)
         return tuple(settled)
 
     def _settle_unclaimable(self, wall):
@@ -403,21 +379,3 @@
 
 def _is_granted(standing, record):
     return standing.nonce == record.nonce and standing.state is ClaimState.RUNNING
-
-
-def _apply(records, change, size):
-    """Apply an outcome to the claim that it belongs to; return the growth."""
-    standing = records.get(change.key)
-    if standing is None or standing.nonce != change.nonce:
-        return 0
-    if change.verdict is Verdict.NOT_RUN:
-        # A recorded outcome is never released: it may be told already.
-        if standing.state is ClaimState.ENDED:
-            return 0
-        del records[change.key]
-        return -standing.size
-    if size > BODY_VALUE_BYTES:
-        kept = change.body_kept and not change.body
-        change = replace(change, body=b"", body_kept=kept)
-    records[change.key] = change
-    return change.size - standing.size
