--- a/src/cassiaford/policy/_claim_shard.py
+++ b/src/cassiaford/policy/_claim_shard.py
@@ -25,6 +25,7 @@
     released_record,
     unavailable,
 )
+from cassiaford.verdict import Verdict
 
 # The first byte must leave within this time of the claim's first write.
 START_WITHIN_S = 60.0
@@ -134,6 +135,9 @@
         the end; then the claim stands, and its outcome is told as unknown.
         """
         self.active.discard(record.nonce)
+        if record.verdict is Verdict.NOT_RUN:
+            # A copy that was forwarded may still be written elsewhere.
+            self._note_elsewhere(record)
         if self.changes.full:
             return False
         self.changes.add(record)
