--- a/src/cassiaford/pipeline/_events.py
+++ b/src/cassiaford/pipeline/_events.py
@@ -122,7 +122,8 @@
 
 def _is_one_event(data):
     """Return whether data are one whole event, as they mostly are."""
-    return data.find(b"\n\n") == len(data) - 2 and b"\r" not in data
+    end = data.find(b"\n\n")
+    return end >= 0 and end == len(data) - 2 and b"\r" not in data
 
 
 def _has_data(event):
--- a/src/cassiaford/pipeline/_upstream.py
+++ b/src/cassiaford/pipeline/_upstream.py
@@ -44,6 +44,9 @@
 # A compressed answer could be neither cut into events nor read for its usage.
 REPLACED_FOR_MODELS = frozenset({"accept-encoding", "content-type"})
 
+# Put at the beginning of a JSON object that has more members.
+_USAGE_OPTION = b'"stream_options": {"include_usage": true}, '
+
 _PRIORITIES = {
     ServiceClass.INTERACTIVE: 0,
     ServiceClass.STANDARD: 1,
@@ -109,7 +112,7 @@
         method="POST",
         target=request.authenticated.model_path,
         headers=tuple(headers.items()),
-        body=_with_usage(call.body) if adds_usage else caller.body,
+        body=_with_usage(call.body, caller.body) if adds_usage else caller.body,
         streaming=call.streaming,
         hides_usage=adds_usage,
     )
@@ -144,7 +147,15 @@
     return isinstance(options, dict) and options.get("include_usage") is True
 
 
-def _with_usage(body):
+def _with_usage(body, text):
+    """Return the body's text with the wish for usage put in.
+
+    The text is kept as it came where possible: a long prompt need not be
+    written anew.
+    """
+    start = text.find(b"{") + 1
+    if "stream_options" not in body and text[start : start + 1] != b"\0":
+        return text[:start] + _USAGE_OPTION + text[start:]
     options = body.get("stream_options")
     options = dict(options) if isinstance(options, dict) else {}
     options["include_usage"] = True
