--- a/src/cassiaford/pipeline/_body.py
+++ b/src/cassiaford/pipeline/_body.py
@@ -14,7 +14,7 @@
 )
 from cassiaford.pipeline._job import Job
 from cassiaford.pipeline._messages import Usage
-from cassiaford.pipeline._response import AnswerHead
+from cassiaford.pipeline._response import BODILESS_STATUSES, AnswerHead
 from cassiaford.policy import Failure
 
 # An answer up to this size is held until it is whole, so that a broken one can
@@ -169,6 +169,43 @@
         return not (facts.only_usage and self.hides_usage)
 
 
+def create_body(
+    job: Job,
+    caller: CallerConnection,
+    begin: Callable[[int | None], bytes],
+    head: AnswerHead,
+) -> BodyRelay | None:
+    """Return the relay for an answer with this head.
+
+    None means that the answer begins a stream anew of which the caller has a
+    part that it cannot be compared with.
+    """
+    call = job.request.call
+    if job.upstream.method == "HEAD" or head.status in BODILESS_STATUSES:
+        return BodilessRelay(caller, begin, job, head)
+    if call is not None and call.streaming and head.is_event_stream:
+        return _stream_relay(job, caller, begin, head)
+    holds = call is not None or head.length is not None
+    return PlainBodyRelay(caller, begin, job, head, holds, call is not None)
+
+
+def _stream_relay(job, caller, begin, head):
+    replay = job.progress.received > 0 and not _resumed(job, head)
+    if replay and not job.progress.history:
+        return None
+    return EventStreamRelay(caller, begin, job, replay)
+
+
+def _resumed(job, head):
+    """Return whether the server goes on where the stream broke off.
+
+    A server that does not know the header for it starts from the beginning,
+    and does not name the offset in its answer.
+    """
+    offset = job.resume_at
+    return offset is not None and head.header("x-resume-offset") == str(offset)
+
+
 def _usage_in(body):
     try:
         return read_usage(json.loads(body))
--- a/src/cassiaford/pipeline/_caller.py
+++ b/src/cassiaford/pipeline/_caller.py
@@ -41,6 +41,7 @@
         self.started = False
         self.finished = False
         self.chunked = False
+        self.slow = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport and bound its buffer."""
@@ -61,10 +62,12 @@
 
     def pause_writing(self) -> None:
         """Tell the listener that the buffer is full."""
+        self.slow = True
         self.listener.caller_slow(True)
 
     def resume_writing(self) -> None:
         """Tell the listener that the buffer has room."""
+        self.slow = False
         self.listener.caller_slow(False)
 
     def start(
@@ -85,7 +88,7 @@
 
     def write(self, data: bytes, head: bytes = b"") -> None:
         """Write a part of the body, the head before it."""
-        if self.finished:
+        if self.finished or self.transport.is_closing():
             return
         if self.chunked and data:
             data = b"%b%x\r\n%b\r\n" % (head, len(data), data)
--- a/src/cassiaford/pipeline/_exchange.py
+++ b/src/cassiaford/pipeline/_exchange.py
@@ -16,7 +16,7 @@
     BodilessRelay,
     BodyRelay,
     EventStreamRelay,
-    PlainBodyRelay,
+    create_body,
 )
 from cassiaford.pipeline._caller import CallerConnection, CallerListener
 from cassiaford.pipeline._events import StreamError
@@ -25,7 +25,8 @@
 from cassiaford.pipeline._messages import Header, Outcome
 from cassiaford.pipeline._owner import ExchangeOwner
 from cassiaford.pipeline._refusals import failure_refusal, stopping_refusal
-from cassiaford.pipeline._response import BODILESS_STATUSES, AnswerHead
+from cassiaford.pipeline._response import AnswerHead
+from cassiaford.pipeline._sockets import connect_socket
 from cassiaford.pipeline._statuses import (
     answer_verdict,
     refused_attempt,
@@ -65,7 +66,9 @@
 
     def open(self) -> None:
         """Begin to watch the caller."""
-        self._adopt(self.job.caller, self.caller, self._caller_unusable)
+        self._adopt(
+            self.job.caller, self.caller, self._run_waiting, self._caller_unusable
+        )
 
     def attach(self, sock: socket.socket) -> None:
         """Take the connection on which the current attempt was sent.
@@ -80,7 +83,7 @@
             return
         method = self.job.upstream.method
         self.connection = AnswerConnection(self, method, self.owner.clock)
-        self._adopt(sock, self.connection, self._server_unusable)
+        self._adopt(sock, self.connection, self._server_ready, self._server_unusable)
 
     def watch(self) -> None:
         """Do nothing more than `open`: the caller is watched from then on."""
@@ -287,37 +290,9 @@
 
     def _begin_answer(self, head):
         self.status = head.status
-        call = self.job.request.call
-        if self.job.upstream.method == "HEAD" or head.status in BODILESS_STATUSES:
-            self.body = BodilessRelay(self.caller, self._begin, self.job, head)
-        elif call is not None and call.streaming and head.is_event_stream:
-            self._begin_stream(head)
-        else:
-            self.body = self._plain_body(head, call)
-
-    def _begin_stream(self, head):
-        progress = self.job.progress
-        replay = progress.received > 0 and not self._resumed(head)
-        if replay and not progress.history:
+        self.body = create_body(self.job, self.caller, self._begin, head)
+        if self.body is None:
             self.attempt_failed(Failure.DIVERGED)
-            return
-        self.body = EventStreamRelay(self.caller, self._begin, self.job, replay)
-
-    def _resumed(self, head):
-        """Return whether the server goes on where the stream broke off.
-
-        A server that does not know the header for it starts from the
-        beginning, and does not name the offset in its answer.
-        """
-        offset = self.job.resume_at
-        return offset is not None and head.header("x-resume-offset") == str(offset)
-
-    def _plain_body(self, head, call):
-        holds = call is not None or head.length is not None
-        reads_usage = call is not None
-        return PlainBodyRelay(
-            self.caller, self._begin, self.job, head, holds, reads_usage
-        )
 
     def _begin(self, length):
         """Return the head that the caller gets."""
@@ -397,22 +372,19 @@
 
     # Sockets.
 
-    def _adopt(self, sock, protocol, failed):
+    def _adopt(self, sock, protocol, ready, failed):
         """Give a connected socket to the loop."""
-
-        async def connect():
-            try:
-                await self.loop.connect_accepted_socket(lambda: protocol, sock)
-            except (OSError, ValueError):
-                sock.close()
-                failed()
-            else:
-                self._run_waiting()
-
-        task = self.loop.create_task(connect())
+        task = self.loop.create_task(
+            connect_socket(self.loop, sock, protocol, ready, failed)
+        )
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def _server_ready(self):
+        # The caller may have been slow before this connection was there.
+        if self.connection is not None:
+            self.connection.pause(self.caller.slow)
+
     def _caller_unusable(self):
         self.caller.finished = True
         self.job.abandoned = True
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -267,6 +267,8 @@
                 self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
             self.sock.connect(listener.getsockname())
             self.far_end, _ = listener.accept()
+        if buffer_bytes:
+            self.far_end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
         self.sock.settimeout(HANG_TIMEOUT_S)
         self.raw = bytearray()
 
