--- a/src/cassiaford/settings/_model.py
+++ b/src/cassiaford/settings/_model.py
@@ -49,12 +49,16 @@
 
 @dataclass(frozen=True, config=STRICT)
 class KeyValueSettings:
-    """The platform's key-value service and its list of instances."""
+    """The platform's key-value service and its list of instances.
+
+    `list_lag_s` is the longest time by which the list is late.
+    """
 
     address: Address
     list_address: Address
     timeout_s: Seconds = 1.0
     watch_timeout_s: Seconds = 30.0
+    list_lag_s: Seconds = 10.0
 
 
 @dataclass(frozen=True, config=STRICT)
@@ -77,8 +81,10 @@
     silence_timeout_s: Seconds = 2.0
     request_timeout_s: Seconds = 600.0
     queue_wait_s: Seconds = 2.0
+    batch_queue_wait_s: Seconds = 30.0
     queue_length: Annotated[int, Field(ge=1)] = 64
     drain_timeout_s: Seconds = 60.0
+    lookup_max_age_s: Seconds = 2.0
     stale_after_s: Seconds = 4.0
 
 
