--- a/src/cassiaford/policy/_claim_shard.py
+++ b/src/cassiaford/policy/_claim_shard.py
@@ -90,15 +90,16 @@
 
         One that was `forwarded` before may be written by another instance.
         """
+        if forwarded:
+            self._note_elsewhere(record)
         standing = self._local_view(record)
         claim = Claim(self.name, record, now + START_WITHIN_S)
         if standing is not None and _is_granted(standing, record):
+            self._elsewhere.pop(record.nonce, None)
             return Settled(record.nonce, claim)
         if standing is not None and self._is_final(standing):
             return Settled(record.nonce, self._second_arrival(standing, record))
         self.pending[record.nonce] = claim
-        if forwarded:
-            self._note_elsewhere(record)
         return None
 
     def abandon(self, nonce: str) -> None:
