--- a/src/cassiaford/policy/_prefix_placement.py
+++ b/src/cassiaford/policy/_prefix_placement.py
@@ -138,6 +138,7 @@
         cached = placement.cached_tokens // BLOCK_TOKENS
         load.add(SentRequest(request, tokens, ahead, now, cached))
         self._server_of[request.request_id] = placement.server
+        load.holds_blocks = True
         weight = self.table.weight_at(now)
         self.table.total_weight += weight
         for block in request.chain:
@@ -184,7 +185,7 @@
             load.listening_since = now
         for event in events.events:
             if event.kind is CacheEventKind.STORED:
-                self.beliefs.stored(event.block, load.bit)
+                self.beliefs.stored(event.block, load)
             else:
                 self.beliefs.evicted(event.block, load.bit)
 
--- a/src/cassiaford/policy/_server_beliefs.py
+++ b/src/cassiaford/policy/_server_beliefs.py
@@ -55,7 +55,7 @@
             self._retire(server, load.incarnation)
             # Also at the first report: what was believed before it may be of
             # an incarnation that had ended by then.
-            self.table.drop_holder(load.bit)
+            self._drop_blocks(load)
             load.enter(incarnation)
         return True
 
@@ -64,18 +64,19 @@
         load = self.loads.pop(server, None)
         if load is not None:
             del self._names[load.bit]
-            self.table.drop_holder(load.bit)
+            self._drop_blocks(load)
             self._retire(server, load.incarnation)
         return load
 
-    def stored(self, block: int, bit: int) -> None:
+    def stored(self, block: int, load: ServerLoad) -> None:
         """Believe that a server holds a block, if there is room to know it."""
         known = self.table.find(block)
         if known is None:
             if not self.table.has_room:
                 return
             known = self.table.add(block)
-        known.holders |= bit
+        known.holders |= load.bit
+        load.holds_blocks = True
 
     def evicted(self, block: int, bit: int) -> None:
         """Believe that a server does not hold a block."""
@@ -93,6 +94,12 @@
                 names.extend(self._names[bit] for bit in bits)
         return names
 
+    def _drop_blocks(self, load: ServerLoad) -> None:
+        # A sweep over the whole table, so not for a server that is new.
+        if load.holds_blocks:
+            self.table.drop_holder(load.bit)
+            load.holds_blocks = False
+
     def _free_bit(self) -> int:
         taken = sum(self._names)
         return ~taken & (taken + 1)
--- a/src/cassiaford/policy/_server_load.py
+++ b/src/cassiaford/policy/_server_load.py
@@ -50,7 +50,8 @@
 class ServerLoad:
     """One backend server as one instance sees it.
 
-    `bit` marks it in the sets of block holders. Reports lag, so requests of
+    `bit` marks it in the sets of block holders, in which it is found only if
+    `holds_blocks`. Reports lag, so requests of
     our own that they cannot hold yet are added to them.
     """
 
@@ -60,6 +61,7 @@
         self.assumed_tokens_per_s = tokens_per_s
         self.incarnation = None
         self.listening_since = None
+        self.holds_blocks = False
         self.report = None
         self.reported_at = 0.0
         self.sent = {}
