--- a/src/cassiaford/fleet/__init__.py
+++ b/src/cassiaford/fleet/__init__.py
@@ -19,6 +19,10 @@
     LostRaceError,
     UnknownOutcomeError,
 )
+from cassiaford.fleet._orders import (
+    OrderRunner,
+    create_order_runner,
+)
 from cassiaford.fleet._rates import (
     Limiter,
     RateLimiter,
@@ -53,6 +57,7 @@
     "Limiter",
     "LostRaceError",
     "Member",
+    "OrderRunner",
     "PeerMessage",
     "PeerTransport",
     "RateLimiter",
@@ -61,6 +66,7 @@
     "UnknownOutcomeError",
     "create_claims",
     "create_fleet",
+    "create_order_runner",
     "create_rate_limiter",
     "create_suspects",
     "shard_of",
--- a/src/cassiaford/instance/_instance.py
+++ b/src/cassiaford/instance/_instance.py
@@ -8,6 +8,7 @@
 from cassiaford.fleet import (
     create_claims,
     create_fleet,
+    create_order_runner,
     create_rate_limiter,
     create_suspects,
 )
@@ -93,6 +94,7 @@
         self.suspects.start()
         self.dispatcher.start()
         self.poller.start()
+        self.orders.start()
         self._wait_for_configuration()
         self.server.start_serving()
         self.is_ready = True
@@ -127,6 +129,7 @@
         """Stop all parts; what is still running is cut."""
         self.stopping.set()
         self.server.stop_serving()
+        self.orders.stop()
         self.poller.stop()
         self.dispatcher.stop(STOP_TIMEOUT_S)
         self.claims.stop(STOP_TIMEOUT_S)
@@ -163,6 +166,14 @@
             settings.instance,
             self.incarnation,
         )
+        self.orders = create_order_runner(
+            settings.orders,
+            key_value,
+            create_engine_control(POLL_TIMEOUT_S),
+            self.fleet,
+            self.journal,
+            settings.instance,
+        )
         self.fleet.configuration.on_change(self._configuration_changed)
         self.fleet.on_departure(self.claims.mark_gone)
         self.fleet.on_departure(self.limiter.mark_gone)
@@ -178,15 +189,18 @@
             random.Random(f"{settings.instance}/{self.incarnation}/dispatch"),
             suspects=self.crashes,
             queue=create_fair_queue(settings.limits.queue_length),
+            versions=self.orders,
         )
         self.crashes.observer = self.dispatcher
+        self.orders.observer = self.crashes
         self.poller = create_poller(
             self._current,
             create_engine_control(POLL_TIMEOUT_S),
-            self.crashes,
+            self.orders,
             self.journal,
             POLL_INTERVAL_S,
         )
+        self.orders.poll_interval_s = self.poller.interval_now_s
 
     def _create_front(self):
         settings = self.settings
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -67,7 +67,14 @@
     # 16xx: claims.
     CLAIM_OUTCOME_LOST = (1601, Level.WARNING, "outcome of a claim not recorded")
 
-    # 17xx: requests that crash servers.
+    # 17xx: orders to engines, and requests that crash servers.
+    LOAD_ORDERED = (1701, Level.INFO, "engine is to load weights")
+    LOAD_FINISHED = (1702, Level.INFO, "engine has loaded weights")
+    LOAD_LOST = (1703, Level.WARNING, "load of weights given up")
+    ORDER_NOT_ACCEPTED = (1704, Level.WARNING, "order refused or its answer lost")
+    ORDERS_SUSPENDED = (1705, Level.WARNING, "no orders without key-value service")
+    ORDERS_RESUMED = (1706, Level.INFO, "orders are given again")
+    LAST_SERVER_KEPT = (1707, Level.WARNING, "last serving engine not reloaded")
     SERVER_CRASH_REPORTED = (1711, Level.WARNING, "requests suspect after a crash")
 
     # 18xx: the key-value service.
--- a/src/cassiaford/pipeline/__init__.py
+++ b/src/cassiaford/pipeline/__init__.py
@@ -40,6 +40,9 @@
 from cassiaford.pipeline._suspects import (
     SuspectRegister,
 )
+from cassiaford.pipeline._versions import (
+    ServedVersions,
+)
 
 __all__ = [
     "AdmitFilter",
@@ -55,6 +58,7 @@
     "Outcome",
     "RawRequest",
     "ReceiveFilter",
+    "ServedVersions",
     "ServiceClass",
     "SuspectRegister",
     "Usage",
--- a/src/cassiaford/pipeline/_dispatch.py
+++ b/src/cassiaford/pipeline/_dispatch.py
@@ -26,6 +26,7 @@
 from cassiaford.pipeline._relay import Relay
 from cassiaford.pipeline._suspects import SuspectRegister
 from cassiaford.pipeline._upstream import upstream_request
+from cassiaford.pipeline._versions import ServedVersions, scoped_upstream
 from cassiaford.pipeline._waiting import WaitingJobs
 from cassiaford.policy import (
     Failure,
@@ -73,7 +74,9 @@
         suspects: SuspectRegister | None,
         clock: Callable[[], float],
         queue: RequestQueue,
+        versions: ServedVersions | None = None,
     ):
+        self.versions = versions
         self.settings = settings
         self.placement = placement
         self.journal = journal
@@ -81,7 +84,7 @@
         self.suspects = suspects
         self.clock = clock
         self.waiting = WaitingJobs(
-            settings, configuration, placement, queue, rng, suspects, clock()
+            settings, configuration, placement, queue, rng, suspects, clock(), versions
         )
         self.health = self.waiting.health
         self.jobs = set()
@@ -311,7 +314,7 @@
         try:
             sock = send_request(
                 job.server.address,
-                job.upstream,
+                scoped_upstream(job, self.versions),
                 job.resume_at,
                 self.settings.connect_timeout_s,
                 self.settings.silence_timeout_s,
@@ -388,12 +391,14 @@
     suspects: SuspectRegister | None = None,
     clock: Callable[[], float] = time.monotonic,
     queue: RequestQueue | None = None,
+    versions: ServedVersions | None = None,
 ) -> Dispatcher:
     """Return a dispatcher, not yet started.
 
     `configuration` returns the configuration in force, `credential` is what
     the instance presents to backend servers, and `queue` decides in which
-    order waiting requests are sent: by arrival if none is given.
+    order waiting requests are sent: by arrival if none is given. `versions`
+    knows which engines serve a model; without it all are taken to.
     """
     if queue is None:
         queue = FifoQueue(settings.queue_length, settings.queue_wait_s)
@@ -407,4 +412,5 @@
         suspects,
         clock,
         queue,
+        versions,
     )
--- a/src/cassiaford/pipeline/_upstream.py
+++ b/src/cassiaford/pipeline/_upstream.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from cassiaford.pipeline._answers import JSON_TYPE, REQUEST_ID_HEADER
 from cassiaford.pipeline._messages import AdmittedRequest, ServiceClass
@@ -67,6 +67,11 @@
     streaming: bool = False
     hides_usage: bool = False
 
+    def with_salt(self, salt: str) -> "UpstreamRequest":
+        """Return the request with another cache salt."""
+        headers = dict(self.headers) | {CACHE_SALT_HEADER: salt}
+        return replace(self, headers=tuple(headers.items()))
+
     def headers_at(self, offset: int | None) -> dict[str, str]:
         """Return the headers, for a resumption after `offset` events if set."""
         headers = dict(self.headers)
--- a/src/cassiaford/pipeline/_waiting.py
+++ b/src/cassiaford/pipeline/_waiting.py
@@ -11,6 +11,7 @@
 from cassiaford.pipeline._job import Job
 from cassiaford.pipeline._refusals import late_refusal, no_server_refusal
 from cassiaford.pipeline._suspects import SuspectRegister
+from cassiaford.pipeline._versions import ServedVersions
 from cassiaford.policy import PlacementPolicy, RequestQueue, RetryBudget, ServerHealth
 from cassiaford.settings import LimitSettings
 from cassiaford.verdict import Refusal
@@ -35,7 +36,9 @@
         rng: random.Random,
         suspects: SuspectRegister | None,
         now: float,
+        versions: ServedVersions | None = None,
     ):
+        self.versions = versions
         self.settings = settings
         self.configuration = configuration
         self.placement = placement
@@ -125,6 +128,11 @@
     def _allowed_servers(self, job):
         """Return the servers that may take a job now."""
         servers = self._servers(job)
+        if self.versions is not None and job.request.call is not None:
+            model = job.request.call.model.name
+            servers = tuple(
+                s for s in servers if self.versions.is_serving(s.name, model)
+            )
         if self.suspects is None:
             return servers
         avoided = self.suspects.avoided(job.request)
--- a/src/cassiaford/policy/_orders.py
+++ b/src/cassiaford/policy/_orders.py
@@ -16,8 +16,8 @@
 CLOCK_DRIFT = 1.05
 # An order without an answer is sent again after this time.
 RESEND_S = 1.0
-# An engine silent for longer than this does not count as serving.
-REPORT_MAX_AGE_S = 3.0
+# An engine that has missed so many reports does not count as serving.
+REPORTS_MISSED = 6
 
 
 @dataclass(frozen=True)
@@ -98,6 +98,11 @@
         self.identity = identity
         self.limits = limits
         self.table = LoadTable()
+        self.was_read = False
+        # When the wanted version changed, until an engine's report shows
+        # another one than is wanted: by then no older order is under way.
+        self.changed_at: dict[tuple[str, str], float] = {}
+        self.report_interval_s = 0.5
         self.wants: dict[tuple[str, str], Want] = {}
         self.wanted_since: dict[tuple[str, str], float] = {}
         self.reports: dict[str, _Report] = {}
@@ -121,10 +126,18 @@
             known = before.get(key)
             if known is None or known.version != want.version:
                 self.wanted_since[key] = now
+            if known is not None and known.version != want.version:
+                self.changed_at[key] = now
+        for times in (self.wanted_since, self.changed_at):
+            _keep(times, self.wants.keys())
 
     def observe(self, server: str, models: Mapping[str, str], now: float) -> None:
         """Take in an engine's load report."""
         self.reports[server] = _Report(dict(models), now)
+        for key in tuple(self.changed_at):
+            name, model = key
+            if name == server and models.get(model) != self.wants[key].version:
+                del self.changed_at[key]
 
     def forget(self, server: str) -> None:
         """Drop what is believed of an engine."""
@@ -133,6 +146,7 @@
     def table_read(self, table: LoadTable, now: float) -> None:
         """Take in the table, as read or as written with success."""
         self.table = table
+        self.was_read = True
         nonces = {load.nonce for load in table.loads}
         orders = {load.order_id for load in table.loads}
         for load in table.loads:
@@ -145,9 +159,53 @@
         self.answered &= orders
 
     def has_work(self, now: float) -> bool:
-        """Return whether any engine differs from what is wanted."""
-        return bool(self.table.loads) or any(
-            self._differs(want, now) for want in self.wants.values()
+        """Return whether the table must be read, and orders may be due."""
+        if self.table.loads or not self.was_read:
+            return True
+        return any(self._differs(want, now) for want in self.wants.values())
+
+    def is_serving(self, server: str, model: str) -> bool:
+        """Return whether an engine has a model and is not loading it.
+
+        An engine without a report is taken to serve: it refuses what it
+        cannot run, and without reports there would be no service at all.
+        """
+        if self._is_loading(server, model):
+            return False
+        report = self.reports.get(server)
+        return report is None or model in report.models
+
+    def is_current(self, server: str, model: str, version: str, now: float) -> bool:
+        """Return whether an engine surely has just this version of a model.
+
+        An engine that seems to have had the version since before it was
+        wanted may still carry out an order for the version between: the one
+        that an operator has just taken back.
+        """
+        report = self.reports.get(server)
+        if report is None or report.models.get(model) != version:
+            return False
+        if self._is_loading(server, model):
+            return False
+        limits = self.limits
+        changed_at = self.changed_at.get((server, model))
+        unsure_s = limits.lease_s + limits.order_flight_s + limits.load_timeout_s
+        return changed_at is None or now >= changed_at + unsure_s + limits.settle_s
+
+    def own_loads(self) -> tuple[Load, ...]:
+        """Return the loads that this instance holds."""
+        return tuple(load for load in self.table.loads if self._is_own(load))
+
+    def kept(self, live: Sequence[str], now: float) -> tuple[Want, ...]:
+        """Return what is not ordered as it would take a last serving server."""
+        loading = {load.model for load in self.table.loads}
+        return tuple(
+            want
+            for want in self.wants.values()
+            if want.model not in loading
+            and self._is_chosen(want.server, live)
+            and self._differs(want, now)
+            and self.is_last(want, now)
         )
 
     def step(
@@ -175,7 +233,7 @@
         granted_at = self.granted_at.get(load.nonce)
         if load not in self.table.loads or granted_at is None:
             return False
-        return now < granted_at + self.limits.lease_s and not self._is_done(load)
+        return now < granted_at + self.limits.lease_s and not self.is_done(load)
 
     def order_sent(self, load: Load, now: float) -> None:
         """Take note that an order is about to be sent."""
@@ -211,14 +269,15 @@
     def _is_own(self, load):
         return load.holder == self.identity and load.nonce in self.granted_at
 
-    def _is_done(self, load):
+    def is_done(self, load: Load) -> bool:
+        """Return whether the engine's newest report shows the loaded version."""
         report = self.reports.get(load.server)
         return report is not None and report.models.get(load.model) == load.version
 
     def _is_over(self, load, now):
         """Return whether an own load has ended and nothing of it is in flight."""
         timeout_at = self.first_seen[load.order_id] + self.limits.load_timeout_s
-        if not self._is_done(load) and now < timeout_at:
+        if not self.is_done(load) and now < timeout_at:
             return False
         want = self.wants.get((load.server, load.model))
         if want is not None and want.checks_fencing:
@@ -237,7 +296,7 @@
         return landed_at
 
     def _may_take_over(self, load, live, now):
-        if not live or choose_instance(load.server, live) != self.instance:
+        if not self._is_chosen(load.server, live):
             return False
         if load.holder.partition("/")[0] not in live:
             return True
@@ -245,7 +304,7 @@
         return now >= lapses_at
 
     def _without(self, load, now):
-        if not self._is_done(load):
+        if not self.is_done(load):
             self.retry_at[load.server] = now + self.limits.load_timeout_s
         loads = tuple(other for other in self.table.loads if other != load)
         return replace(self.table, loads=loads)
@@ -276,7 +335,7 @@
         return None
 
     def _may_grant(self, want, live, now):
-        if not live or choose_instance(want.server, live) != self.instance:
+        if not self._is_chosen(want.server, live):
             return False
         settled_at = self.wanted_since[(want.server, want.model)] + self.limits.settle_s
         if now < max(settled_at, self.retry_at.get(want.server, 0.0)):
@@ -285,6 +344,13 @@
             return False
         return self._differs(want, now) and not self.is_last(want, now)
 
+    def _is_chosen(self, server, live):
+        return bool(live) and choose_instance(server, live) == self.instance
+
+    def _is_loading(self, server, model):
+        loads = self.table.loads
+        return any(load.server == server and load.model == model for load in loads)
+
     def _differs(self, want, now):
         """Return whether a fresh report shows something else than is wanted."""
         report = self._fresh_report(want.server, now)
@@ -310,8 +376,10 @@
 
     def _fresh_report(self, server, now):
         report = self.reports.get(server)
-        fresh = report is not None and now <= report.at + REPORT_MAX_AGE_S
-        return report if fresh else None
+        max_age_s = REPORTS_MISSED * self.report_interval_s
+        if report is None or now > report.at + max_age_s:
+            return None
+        return report
 
     def _nonce(self, now):
         self.attempts += 1
--- a/src/cassiaford/settings/__init__.py
+++ b/src/cassiaford/settings/__init__.py
@@ -7,6 +7,7 @@
     KeyValueSettings,
     LimitSettings,
     LogSettings,
+    OrderSettings,
     PeerSettings,
     Settings,
 )
@@ -17,6 +18,7 @@
     "KeyValueSettings",
     "LimitSettings",
     "LogSettings",
+    "OrderSettings",
     "PeerSettings",
     "Settings",
     "SettingsError",
--- a/src/cassiaford/settings/_model.py
+++ b/src/cassiaford/settings/_model.py
@@ -88,6 +88,23 @@
     stale_after_s: Seconds = 4.0
 
 
+@dataclass(frozen=True, config=STRICT)
+class OrderSettings:
+    """The orders to engines to load weights; alike on all instances.
+
+    `loads_at_once` is what the weight store allows. An order is sent within
+    `lease_s` of its grant and arrives within `order_flight_s` or never; a
+    load that takes longer than `load_timeout_s` is given up. A new version is
+    ordered `settle_s` after an instance has seen it, when all others have.
+    """
+
+    loads_at_once: Annotated[int, Field(ge=1)] = 2
+    lease_s: Seconds = 10.0
+    order_flight_s: Seconds = 5.0
+    load_timeout_s: Seconds = 60.0
+    settle_s: Seconds = 7.0
+
+
 @dataclass(frozen=True, config=STRICT)
 class LogSettings:
     """The form and the least level of log lines."""
@@ -107,4 +124,5 @@
     key_value: KeyValueSettings
     control: ControlSettings
     limits: LimitSettings = Field(default_factory=LimitSettings)
+    orders: OrderSettings = Field(default_factory=OrderSettings)
     log: LogSettings = Field(default_factory=LogSettings)
--- /dev/null
+++ b/tests/test_roll_out.py
@@ -0,0 +1,172 @@
+"""Tests of loading new weights everywhere while requests go on."""
+
+import threading
+import types
+import unittest
+
+from cassiaford.config import BackendServer, Configuration, Model, PutModel
+from cassiaford.engines import EngineControl, EngineError, LoadReport, OrderAnswer
+from cassiaford.fleet import create_order_runner
+from cassiaford.logs import Event
+from cassiaford.settings import OrderSettings
+from cassiaford.timeline import HybridClock, Journal
+from tests.fakes_keyvalue import FakeKeyValueService
+from tests.process_case import MODEL, ProcessCase, expected_text, judge
+
+
+class FakeControl(EngineControl):
+    """Engines that load at once; `lost_answers` orders lose their answer."""
+
+    def __init__(self):
+        self.models = {"a:1": {MODEL: "v1"}, "b:1": {MODEL: "v1"}}
+        self.orders = []
+        self.lost_answers = 0
+
+    def load(self, address):
+        models = tuple(self.models[address].items())
+        return LoadReport("1", 0, 0, 0, models)
+
+    def order(self, address, order):
+        self.orders.append(order)
+        self.models[address][order.model] = order.version
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise EngineError("lost")
+        return OrderAnswer(True)
+
+    def cache_events(self, address, after):
+        raise NotImplementedError
+
+    def cancel(self, address, request_id):
+        raise NotImplementedError
+
+
+class OrderRunnerTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 100.0
+        self.lines = []
+        self.key_value = FakeKeyValueService()
+        self.control = FakeControl()
+        clock = HybridClock(lambda: self.now)
+        journal = Journal("entry-1", 1, clock, write=lambda *line: None)
+        journal.record = lambda event, *_, **__: self.lines.append(event)
+        member = types.SimpleNamespace(instance="entry-1", leaving=False)
+        self.fleet = types.SimpleNamespace(
+            members=lambda: (member,),
+            configuration=types.SimpleNamespace(current=self.configuration("v1")),
+        )
+        self.runner = create_order_runner(
+            OrderSettings(settle_s=1.0),
+            self.key_value,
+            self.control,
+            self.fleet,
+            journal,
+            "entry-1",
+            lambda: self.now,
+        )
+        self.run_for(2.0)
+
+    def configuration(self, version):
+        servers = {
+            name: BackendServer(name, f"127.0.0.1:{port}", "cluj", models=(MODEL,))
+            for name, port in (("a", 1), ("b", 2))
+        }
+        for server in servers.values():
+            object.__setattr__(server, "address", f"{server.name}:1")
+        return Configuration(models={MODEL: Model(MODEL, version)}, servers=servers)
+
+    def run_for(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            for name in ("a", "b"):
+                self.runner.observe_load(name, self.control.load(f"{name}:1"))
+            self.runner.tick()
+            self.now += 0.5
+
+    def test_no_calls_while_nothing_differs(self):
+        calls = self.key_value.calls
+        self.run_for(10.0)
+        self.assertEqual(self.key_value.calls, calls)
+
+    def test_lost_answers_are_settled_by_reading_back(self):
+        self.control.lost_answers = 1
+        self.key_value.lost_answers = 1
+        self.fleet.configuration.current = self.configuration("v2")
+        self.run_for(30.0)
+        self.assertEqual([order.version for order in self.control.orders], ["v2"] * 2)
+        self.assertEqual(self.lines.count(Event.LOAD_FINISHED), 2)
+
+    def test_an_outage_holds_orders_back(self):
+        self.key_value.set_down(True)
+        self.fleet.configuration.current = self.configuration("v2")
+        self.run_for(10.0)
+        self.assertEqual(self.control.orders, [])
+        self.assertEqual(self.lines.count(Event.ORDERS_SUSPENDED), 1)
+        self.assertTrue(self.runner.is_serving("a", MODEL))
+        self.key_value.set_down(False)
+        self.run_for(10.0)
+        self.assertEqual(len(self.control.orders), 2)
+
+    def test_the_cache_is_shared_only_where_the_version_is_sure(self):
+        first, second = Model(MODEL, "v1"), Model(MODEL, "v2")
+        self.assertTrue(self.runner.is_current("a", first))
+        self.fleet.configuration.current = self.configuration("v2")
+        self.run_for(0.5)
+        self.assertFalse(self.runner.is_current("a", first))
+        self.assertFalse(self.runner.is_current("a", second))
+        # Taken back before any order; one might be under way all the same.
+        self.fleet.configuration.current = self.configuration("v1")
+        self.run_for(0.5)
+        self.assertFalse(self.runner.is_current("a", first))
+        self.run_for(80.0)
+        self.assertTrue(self.runner.is_current("a", first))
+
+
+class RollOutTest(ProcessCase):
+    engines = 4
+    order_settings = {"settle_s": 1.0, "order_flight_s": 2.0}
+
+    def test_all_engines_reach_the_version_and_no_request_is_refused(self):
+        # Right after a start the rate shares are not spread yet
+        # (KNOWN-RED.txt); what is tested here begins when they are.
+        for name in self.names:
+            warm = self.wait_until(lambda name=name: self.is_served(name))
+            self.assertTrue(warm)
+        verdicts, stopped = [], threading.Event()
+
+        def ask(name):
+            while not stopped.is_set():
+                question = f"{name} {len(verdicts)}"
+                response = self.chat(name, question, tokens=10)
+                verdicts.append(judge(response, expected_text(question, 10)))
+
+        callers = [threading.Thread(target=ask, args=(n,)) for n in self.names]
+        for caller in callers:
+            caller.start()
+        try:
+            self.cluster.apply((PutModel(Model(MODEL, "v2", 200)),))
+            reached = self.wait_until(lambda: set(self.versions()) == {"v2"})
+        finally:
+            stopped.set()
+            for caller in callers:
+                caller.join()
+        self.assertTrue(reached, self.versions())
+        self.assertEqual(set(verdicts), {"whole"})
+        counts = self.control("weight_store", "/control/counts")
+        self.assertEqual(counts["loads"], self.engines)
+        self.assertLessEqual(counts["most_at_once"], 2)
+
+    def is_served(self, name):
+        return judge(self.chat(name, "warm", 10), expected_text("warm", 10)) == "whole"
+
+    def versions(self):
+        names = self.cluster.engine_names
+        return [self.control(name, "/v1/load")["models"][MODEL] for name in names]
+
+    def control(self, name, path):
+        address = self.cluster.group.addresses[name]
+        return self.http.request("GET", f"http://{address}{path}").json()
+
+
+if __name__ == "__main__":
+    unittest.main()
