--- a/standins/_records.py
+++ b/standins/_records.py
@@ -11,13 +11,17 @@
 
 @dataclass(frozen=True)
 class RunRecord:
-    """One request as a backend server saw it."""
+    """One request as a backend server saw it.
+
+    `version` is that of the weights with which an engine started it.
+    """
 
     request_id: str
     idempotency_key: str
     path: str
     headers: dict[str, str]
     started: bool
+    version: str = ""
 
 
 class RunRecords:
@@ -27,7 +31,7 @@
         self.records: list[RunRecord] = []
         self.file = open(path, "a", buffering=1) if path else None  # noqa: SIM115
 
-    def add(self, request: Request, started: bool) -> None:
+    def add(self, request: Request, started: bool, version: str = "") -> None:
         """Record that a request was started or refused."""
         record = RunRecord(
             request_id=request.headers.get("x-request-id", ""),
@@ -35,6 +39,7 @@
             path=request.path,
             headers=request.headers,
             started=started,
+            version=version,
         )
         self.records.append(record)
         if self.file:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -114,7 +114,8 @@
     def _start(self, request, work):
         job = Job(work)
         self.jobs[work.request_id] = job
-        self.records.add(request, started=True)
+        version = self.orders.models[work.model]
+        self.records.add(request, started=True, version=version)
         marker = self.options.crash_marker
         if marker and marker.encode() in request.body:
             os._exit(CRASH_STATUS)
--- a/tests/test_roll_out.py
+++ b/tests/test_roll_out.py
@@ -5,11 +5,19 @@
 import unittest
 
 from cassiaford.config import BackendServer, Configuration, Model, PutModel
-from cassiaford.engines import EngineControl, EngineError, LoadReport, OrderAnswer
+from cassiaford.engines import (
+    EngineControl,
+    EngineError,
+    LoadReport,
+    OrderAnswer,
+    cache_scope,
+)
 from cassiaford.fleet import create_order_runner
 from cassiaford.logs import Event
+from cassiaford.pipeline import ServedVersions
 from cassiaford.settings import OrderSettings
 from cassiaford.timeline import HybridClock, Journal
+from tests.fakes import DispatcherCase, full_stream, model_request
 from tests.fakes_keyvalue import FakeKeyValueService
 from tests.process_case import MODEL, ProcessCase, expected_text, judge
 
@@ -122,6 +130,43 @@
         self.assertTrue(self.runner.is_current("a", first))
 
 
+class FixedVersions(ServedVersions):
+    """Says of some servers that they load, and of all whether they are sure."""
+
+    def __init__(self, loading=(), sure=True):
+        self.loading = loading
+        self.sure = sure
+
+    def is_serving(self, server, model):
+        return server not in self.loading
+
+    def is_current(self, server, model):
+        return self.sure
+
+
+class DispatcherTest(DispatcherCase):
+    def test_an_engine_that_loads_gets_no_request(self):
+        loading, other = self.serve(), self.serve(full_stream())
+        setup = self.dispatch(loading, other, versions=FixedVersions(("engine-0",)))
+        answer, _ = setup.ask(model_request())
+        self.assertEqual(answer.status, 200)
+
+    def test_a_doubtful_version_gets_a_salt_of_its_own(self):
+        salts = []
+
+        def script(connection):
+            salts.append(connection.request.headers["x-cache-salt"])
+            connection.answer()
+
+        server = self.serve(*[script] * 4)
+        for sure in (True, False):
+            setup = self.dispatch(server, versions=FixedVersions(sure=sure))
+            for number in (1, 2):
+                setup.ask(model_request(number))
+        self.assertEqual(salts[0], salts[1])
+        self.assertEqual(len(set(salts)), 3)
+
+
 class RollOutTest(ProcessCase):
     engines = 4
     order_settings = {"settle_s": 1.0, "order_flight_s": 2.0}
@@ -155,6 +200,21 @@
         counts = self.control("weight_store", "/control/counts")
         self.assertEqual(counts["loads"], self.engines)
         self.assertLessEqual(counts["most_at_once"], 2)
+        self.check_salts()
+
+    def check_salts(self):
+        """Check that weights of two versions never met in one cache scope."""
+        shared = {cache_scope("academy", MODEL, version) for version in ("v1", "v2")}
+        seen = set()
+        for name in self.cluster.engine_names:
+            versions = {}
+            for record in self.cluster.run_records()[name]:
+                if record.started:
+                    salt = int(record.headers["x-cache-salt"], 16)
+                    versions.setdefault(salt, set()).add(record.version)
+            seen.update(versions)
+            self.assertEqual([v for v in versions.values() if len(v) > 1], [])
+        self.assertLessEqual(shared, seen)
 
     def is_served(self, name):
         return judge(self.chat(name, "warm", 10), expected_text("warm", 10)) == "whole"
