--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,11 @@
     "bench.placement",
     "bench.fairness",
     "bench.placement_cost",
+    "bench.rates",
+    "bench.claims",
+    "bench.membership",
+    "bench.configuration",
+    "bench.relay",
 )
 
 
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -17,6 +17,7 @@
 import statistics
 import time
 import tracemalloc
+from collections.abc import Sequence
 from dataclasses import asdict, dataclass
 
 from cassiaford.config import (
@@ -202,11 +203,11 @@
     return round(min(times) * 1000, 4)
 
 
-def main() -> None:
+def main(argv: Sequence[str] | None = None) -> None:
     """Measure, print and write the results as JSON."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
-    arguments = parser.parse_args()
+    arguments = parser.parse_args(argv)
     spreads = [
         measure_spread(size, loss, arguments.seed)
         for loss in (0.0, 0.1)
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -13,6 +13,7 @@
 import pathlib
 import socket
 import time
+from collections.abc import Sequence
 from dataclasses import asdict, dataclass
 
 from cassiaford.fleet import Channel
@@ -130,12 +131,12 @@
         return (time.process_time() - started) / count
 
 
-def main() -> None:
+def main(argv: Sequence[str] | None = None) -> None:
     """Measure all sizes, print a table and write the results as JSON."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--sizes", type=int, nargs="+", default=list(SIZES))
-    arguments = parser.parse_args()
+    arguments = parser.parse_args(argv)
     costs = [measure(size, arguments.seed) for size in arguments.sizes]
     results = {
         "seed": arguments.seed,
--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -88,6 +88,7 @@
 
 
 def measure_cost(servers: int, prefixes: int, seed: int) -> Cost:
+    """Return the cost at one number of servers and of known prefixes."""
     placing, starting = _timed_run(servers, prefixes, seed)
     policy, memory = _grown_policy(servers, prefixes, seed)
     return Cost(
