--- a/src/cassiaford/instance/_acceptance.py
+++ b/src/cassiaford/instance/_acceptance.py
@@ -66,9 +66,7 @@
             self.claims.record(claim, outcome)
             self.settler.settle(settled, outcome)
 
-        # A request that waits past the claim's time limit must not start.
-        deadline = min(request.deadline, claim.start_by)
-        claimed = replace(request, deadline=deadline)
+        claimed = replace(request, start_by=claim.start_by)
         self.dispatcher.submit(claimed, exchange.detach(), settle)
 
 
--- a/src/cassiaford/pipeline/_dispatch.py
+++ b/src/cassiaford/pipeline/_dispatch.py
@@ -49,7 +49,6 @@
 QUEUE_INTERVAL_S = 0.05
 # The outcome of a request whose caller was gone before it was submitted.
 UNSEEN = Outcome(Verdict.NOT_RUN, 0)
-CRASHES = (Failure.RESET_BEFORE_ANSWER, Failure.RESET_IN_ANSWER, Failure.SHORT_ANSWER)
 
 
 class Dispatcher(ExchangeOwner):
@@ -209,7 +208,7 @@
         server = job.server
         if server is None:
             return
-        if self.suspects is not None and _tells_of_crash(job, failure):
+        if self.suspects is not None and job.tells_of_crash(failure):
             self.suspects.crashed(job.request, server.name)
         if not failure.blames_server:
             return
@@ -310,6 +309,9 @@
         if job.abandoned:
             self.relay.drop(job)
             return
+        if self.clock() > job.request.start_by:
+            self.relay.attempt_failed(job, Failure.LATE_START)
+            return
         self.journal.record(Event.REQUEST_PLACED, self._subject(job))
         try:
             sock = send_request(
@@ -370,17 +372,6 @@
         )
 
 
-def _tells_of_crash(job, failure):
-    """Return whether a failure looks like the crash of the job's server.
-
-    A broken stream is first resumed; only if the server is gone by then, or
-    no longer knows the stream, did it crash.
-    """
-    if job.resume_at is not None:
-        return failure in (Failure.CONNECT_FAILED, Failure.UNKNOWN_STREAM)
-    return failure in CRASHES and job.progress.received == 0
-
-
 def create_dispatcher(
     settings: LimitSettings,
     configuration: Callable[[], Configuration],
--- a/src/cassiaford/pipeline/_job.py
+++ b/src/cassiaford/pipeline/_job.py
@@ -12,6 +12,7 @@
     Failure,
     PlacementRequest,
     Ticket,
+    tells_of_crash,
 )
 from cassiaford.verdict import Verdict, combine
 
@@ -135,6 +136,11 @@
         self.resumes = 0
         self.server_echoes_id = False
 
+    def tells_of_crash(self, failure: Failure) -> bool:
+        """Return whether a failure looks like the crash of the job's server."""
+        resuming = self.resume_at is not None
+        return tells_of_crash(failure, resuming, self.progress.received > 0)
+
     def after_failure(self) -> FailedRequest:
         """Return what the decision on a retry needs."""
         return FailedRequest(
--- a/src/cassiaford/pipeline/_messages.py
+++ b/src/cassiaford/pipeline/_messages.py
@@ -1,6 +1,7 @@
 """The messages that pass between the filters of the pipeline."""
 
 import enum
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -88,7 +89,9 @@
     """A request within its customer's rate, with the tokens charged for it.
 
     `deadline` is in seconds on the monotonic clock: the latest time at which
-    the request may be sent to a backend server.
+    the request may be sent to a backend server for the first time. No attempt
+    may start after `start_by`, on the same clock: a process that was paused
+    might otherwise run what another has run in the meantime.
     """
 
     authenticated: AuthenticatedRequest
@@ -97,6 +100,7 @@
     deadline: float
     charged_tokens: int
     call: ModelCall | None = None
+    start_by: float = math.inf
 
     @property
     def request_id(self) -> str:
--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -104,6 +104,7 @@
     Failure,
     RetryBudget,
     RetryDecision,
+    tells_of_crash,
 )
 from cassiaford.policy._revisions import (
     RevisionChange,
@@ -221,5 +222,6 @@
     "rank_entries",
     "released_record",
     "rendezvous_score",
+    "tells_of_crash",
     "unavailable",
 ]
--- a/src/cassiaford/policy/_retries.py
+++ b/src/cassiaford/policy/_retries.py
@@ -33,6 +33,11 @@
         Verdict.NOT_RUN,
         RefusalReason.BAD_REQUEST,
     )
+    LATE_START = (
+        "the time by which the request had to start has passed",
+        Verdict.NOT_RUN,
+        RefusalReason.DEADLINE,
+    )
     NOT_STARTED = (
         "the backend server did not start the request",
         Verdict.NOT_RUN,
@@ -117,7 +122,7 @@
     @property
     def final(self) -> bool:
         """Whether no other server could do better."""
-        return self in (Failure.UNSENDABLE, Failure.REQUEST_TIMEOUT)
+        return self in _FINAL_FAILURES
 
     @property
     def blames_server(self) -> bool:
@@ -125,6 +130,12 @@
         return self in _SERVER_FAILURES
 
 
+_FINAL_FAILURES = frozenset(
+    {Failure.UNSENDABLE, Failure.LATE_START, Failure.REQUEST_TIMEOUT}
+)
+_CRASH_FAILURES = frozenset(
+    {Failure.RESET_BEFORE_ANSWER, Failure.RESET_IN_ANSWER, Failure.SHORT_ANSWER}
+)
 _SERVER_FAILURES = frozenset(
     {
         Failure.CONNECT_FAILED,
@@ -137,6 +148,17 @@
 )
 
 
+def tells_of_crash(failure: Failure, resuming: bool, has_events: bool) -> bool:
+    """Return whether a failed attempt looks like the crash of its server.
+
+    A stream that has brought events is first resumed; only if its server is
+    gone by then, or no longer knows the stream, did it crash.
+    """
+    if resuming:
+        return failure in (Failure.CONNECT_FAILED, Failure.UNKNOWN_STREAM)
+    return failure in _CRASH_FAILURES and not has_events
+
+
 class RetryDecision(enum.Enum):
     """Whether an attempt is made again, or why not."""
 
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -1,8 +1,10 @@
 """Tests of the verdict on each way in which an attempt can fail."""
 
+import dataclasses
 import random
 import socket
 import threading
+import time
 import unittest
 
 from hypothesis import given, settings
@@ -169,6 +171,14 @@
         suspected = [r.subject.server for r in setup.journal.snapshot()]
         self.assertIn("service-0", suspected)
 
+    def test_a_request_that_may_no_longer_start_is_not_sent(self):
+        server = self.serve(answer_ok)
+        request = dataclasses.replace(service_request(), start_by=time.monotonic() - 1)
+        answer, outcome = self.dispatch(server).ask(request)
+        self.assertEqual(answer.status, 503)
+        self.assertIs(outcome.verdict, Verdict.NOT_RUN)
+        self.assertEqual(server.requests, [])
+
     def test_a_connection_that_does_not_come_about_goes_elsewhere(self):
         with socket.socket() as listener:
             listener.bind(("127.0.0.1", 0))
