--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -9,7 +9,8 @@
 
 import typer
 
-from bench.capacity._rows import Measured, Row, measure
+from bench.capacity._model import Measured, Row
+from bench.capacity._rows import measure
 
 RESULTS = pathlib.Path("bench-results")
 PAGE = pathlib.Path("docs/CAPACITY.md")
