--- a/src/cassiaford/settings/_model.py
+++ b/src/cassiaford/settings/_model.py
@@ -24,7 +24,11 @@
 
 @dataclass(frozen=True, config=STRICT)
 class HttpSettings:
-    """The interface towards callers."""
+    """The interface towards callers.
+
+    `threads` receive and answer requests; streams do not occupy them.
+    `receive_timeout_s` bounds the arrival of a request's head and body.
+    """
 
     address: Address
     threads: Annotated[int, Field(ge=2, le=256)] = 16
@@ -39,6 +43,7 @@
 
     `secret` authenticates every message between instances; `seeds` are peers
     to try when neither the platform's list nor the key-value service answers.
+    `heartbeat_interval_s` is the time between two probes of peers.
     """
 
     address: Address
@@ -51,7 +56,8 @@
 class KeyValueSettings:
     """The platform's key-value service and its list of instances.
 
-    `list_lag_s` is the longest time by which the list is late.
+    `timeout_s` bounds a call, and `watch_timeout_s` how long a watch may wait
+    for a change. `list_lag_s` is the longest time by which the list is late.
     """
 
     address: Address
