--- a/src/cassiaford/cli/_serve.py
+++ b/src/cassiaford/cli/_serve.py
@@ -24,7 +24,7 @@
 
     The first signal starts a graceful shutdown, a second one ends it. The
     exit status is 0 if every accepted request was finished, 1 if some had to
-    be cut, and 2 if the settings cannot be used.
+    be cut, and 2 if the settings, or an address in them, cannot be used.
     """
     try:
         checked = load_settings(settings)
@@ -33,7 +33,12 @@
             typer.echo(f"{error.source}: {mistake}", err=True)
         raise typer.Exit(EXIT_USAGE) from None
     configure_logging(checked.log.format, checked.log.level)
-    if _run(create_instance(checked)):
+    try:
+        cut = _run(create_instance(checked))
+    except OSError as error:
+        typer.echo(f"{settings}: cannot listen: {error}", err=True)
+        raise typer.Exit(EXIT_USAGE) from None
+    if cut:
         raise typer.Exit(EXIT_CUT_SHORT)
 
 
@@ -56,6 +61,10 @@
         finished.set()
 
     threading.Thread(target=drain_when_asked, daemon=True).start()
-    instance.start()
+    try:
+        instance.start()
+    except OSError:
+        instance.stop()
+        raise
     finished.wait()
     return cut[0]
--- a/src/cassiaford/instance/_instance.py
+++ b/src/cassiaford/instance/_instance.py
@@ -54,7 +54,7 @@
         self.stopping = threading.Event()
         self.is_ready = False
         self.is_draining = False
-        self.cut_early = 0
+        self._opening = threading.Lock()
         self._create_fleet()
         self._create_dispatch()
         self._create_front()
@@ -96,10 +96,10 @@
         self.dispatcher.start()
         self.poller.start()
         self._wait_until_ready()
-        self.server.start_serving()
-        self.is_ready = True
-        self.fleet.announce_ready()
-        self.journal.record(Event.INSTANCE_READY, address=self.settings.http.address)
+        # A graceful shutdown may have started before the port was opened.
+        with self._opening:
+            if not self.is_draining and not self.stopping.is_set():
+                self._open()
 
     def drain(self) -> int:
         """Leave the fleet, finish accepted requests, and stop.
@@ -107,14 +107,14 @@
         Callers may use an answer of the lookup until its age limit, so new
         requests are served for that long after this instance left it.
         """
-        self.is_draining = True
+        with self._opening:
+            self.is_draining = True
         self.journal.record(Event.DRAIN_STARTED, in_flight=self.in_flight)
         self.server.draining = True
         self.fleet.leave()
         self.stopping.wait(self.settings.limits.lookup_max_age_s)
         self.server.stop_serving()
         cut = self.dispatcher.drain(self.settings.limits.drain_timeout_s)
-        cut += self.cut_early
         self.stop()
         event = Event.DRAIN_CUT_SHORT if cut else Event.DRAIN_FINISHED
         self.journal.record(event, cut=cut)
@@ -123,7 +123,7 @@
     def cut_short(self) -> None:
         """End the wait of a graceful shutdown, cutting what still runs."""
         self.stopping.set()
-        self.cut_early += self.dispatcher.relay.cut_all(STOP_TIMEOUT_S)
+        self.dispatcher.end_drain()
 
     def stop(self) -> None:
         """Stop all parts; what is still running is cut."""
@@ -137,6 +137,12 @@
         self.suspects.stop()
         self.fleet.stop()
 
+    def _open(self):
+        self.server.start_serving()
+        self.is_ready = True
+        self.fleet.announce_ready()
+        self.journal.record(Event.INSTANCE_READY, address=self.settings.http.address)
+
     def _create_fleet(self):
         settings = self.settings
         key_value = connect_key_value(settings.key_value)
--- a/src/cassiaford/pipeline/_dispatch.py
+++ b/src/cassiaford/pipeline/_dispatch.py
@@ -46,6 +46,8 @@
 MAX_WAITING_CANCELS = 256
 # Waiting requests are looked at this often even if nothing has changed.
 QUEUE_INTERVAL_S = 0.05
+# A cut is one turn of the event loop.
+CUT_TIMEOUT_S = 5.0
 # The outcome of a request whose caller was gone before it was submitted.
 UNSEEN = Outcome(Verdict.NOT_RUN, 0)
 CRASHES = (Failure.RESET_BEFORE_ANSWER, Failure.RESET_IN_ANSWER, Failure.SHORT_ANSWER)
@@ -86,6 +88,7 @@
         self.health = self.waiting.health
         self.jobs = set()
         self.running = False
+        self.cutting = False
         self.relay = Relay(self, exchange_limits(settings))
         self.threads = []
         self.settlers = ThreadPoolExecutor(SETTLE_THREADS, "settle")
@@ -127,9 +130,16 @@
     def drain(self, timeout_s: float) -> int:
         """Wait until every answer is delivered; return how many were cut."""
         with self._changed:
-            if self._changed.wait_for(lambda: not self.jobs, timeout_s):
+            self._changed.wait_for(lambda: not self.jobs or self.cutting, timeout_s)
+            if not self.jobs:
                 return 0
-        return self._cut(timeout_s)
+        return self._cut(CUT_TIMEOUT_S)
+
+    def end_drain(self) -> None:
+        """Have `drain`, running or yet to come, cut at once what is left."""
+        with self._changed:
+            self.cutting = True
+            self._changed.notify_all()
 
     def submit(
         self,
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,77 @@
+"""Tests of ends of an instance that come early, and of starts that fail."""
+
+import threading
+import unittest
+
+from cassiaford.config import Model, PutModel
+from cassiaford.instance import create_instance
+from cassiaford.logs import Event
+from cassiaford.settings import parse_settings
+from standins.cluster import KEY_VALUE, Cluster, Layout
+from standins.processes import free_address
+
+HANG_TIMEOUT_S = 30.0
+SETTINGS = """
+instance = "entry-1"
+data_centre = "cluj"
+[http]
+address = "{}"
+[peers]
+address = "{}"
+secret = "a long secret of the fleet"
+[key_value]
+address = "{}"
+list_address = "{}"
+[control]
+token = "an operator's long token"
+[limits]
+lookup_max_age_s = 0.1
+"""
+
+
+def instance_alone():
+    """Return an instance that neither the service nor a peer answers."""
+    addresses = [free_address() for _ in range(4)]
+    return create_instance(parse_settings(SETTINGS.format(*addresses)))
+
+
+class ShutdownTest(unittest.TestCase):
+    def test_shutdown_before_the_instance_is_ready_ends_it(self):
+        instance = instance_alone()
+        start = threading.Thread(target=instance.start, daemon=True)
+        start.start()
+        self.assertEqual(instance.drain(), 0)
+        start.join(HANG_TIMEOUT_S)
+        self.assertFalse(start.is_alive())
+        events = [record.event for record in instance.journal.snapshot()]
+        self.assertNotIn(Event.INSTANCE_READY, events)
+        self.assertFalse(instance.server.ready)
+
+    def test_second_signal_ends_the_wait(self):
+        instance = instance_alone()
+        instance.cut_short()
+        self.assertEqual(instance.drain(), 0)
+
+
+class FailedStartTest(unittest.TestCase):
+    def test_address_in_use_is_told_and_ends_the_process(self):
+        layout = Layout(instances=0, engines=0, services=0)
+        cluster = self.enterContext(Cluster(layout))
+        cluster.start_platform()
+        cluster.apply((PutModel(Model("binder", "v1", 100)),))
+        used = cluster.group.addresses[KEY_VALUE]
+        for section in ("http", "peers"):
+            with self.subTest(section):
+                layout.settings.clear()
+                layout.settings[section] = {"address": used}
+                name = f"{section}-1"
+                cluster.launch_instance(name)
+                status = cluster.group.processes[name].wait(HANG_TIMEOUT_S)
+                text = cluster.log_text(name)
+                self.assertEqual(status, 2, text)
+                self.assertIn("cannot listen", text)
+                self.assertNotIn("Traceback", text)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -467,6 +467,16 @@
         self.assertFalse(answer.complete)
         self.assertEqual(answer.error()["code"], "instance_stopping")
 
+    def test_drain_that_is_ended_cuts_at_once(self):
+        setup = self.dispatch(
+            self.serve(broken_stream(2, silent)), silence_timeout_s=HANG_TIMEOUT_S
+        )
+        caller = setup.submit(model_request())
+        caller.read_until(EVENTS[1])
+        setup.dispatcher.end_drain()
+        self.assertEqual(setup.dispatcher.drain(HANG_TIMEOUT_S), 1)
+        self.assertEqual(caller.answer().error()["code"], "instance_stopping")
+
     def test_stop_refuses_what_waits(self):
         setup = self.dispatch(
             self.serve(broken_stream(2, silent)),
