--- a/src/cassiaford/cli/_fleet.py
+++ b/src/cassiaford/cli/_fleet.py
@@ -3,11 +3,10 @@
 import typer
 
 from cassiaford.cli._app import app
-from cassiaford.cli._http import ask, ask_fleet
+from cassiaford.cli._http import ask, ask_fleet, report_missing
 from cassiaford.cli._options import InstanceOption, JsonOption, TokenOption
 from cassiaford.cli._output import (
     EXIT_CODES_HELP,
-    ExitCode,
     print_json,
     print_table,
     reporting_errors,
@@ -22,7 +21,8 @@
 ) -> None:
     """Show every entry instance that the named one knows.
 
-    The exit code is 4 if one of them does not answer.
+    An instance that does not answer is named on standard error with the
+    cause, and the exit code is then 4.
     """
     with reporting_errors():
         answers = ask_fleet(instance, token)
@@ -31,8 +31,7 @@
         else:
             rows = [_row(answer) for answer in answers]
             print_table(("INSTANCE", "ADDRESS", "REVISION", "STATE", "IN FLIGHT"), rows)
-        if any(answer.error for answer in answers):
-            raise typer.Exit(ExitCode.UNAVAILABLE)
+        report_missing(answers)
 
 
 @app.command(epilog=EXIT_CODES_HELP)
@@ -56,7 +55,7 @@
 def _row(answer):
     status = answer.document
     if not status:
-        return (answer.instance, answer.address, "-", answer.error, "-")
+        return (answer.instance, answer.address, "-", "no answer", "-")
     return (
         answer.instance,
         answer.address,
--- a/src/cassiaford/cli/_http.py
+++ b/src/cassiaford/cli/_http.py
@@ -1,12 +1,14 @@
 """Asking entry instances over HTTP."""
 
 import json
+from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
+import typer
 import urllib3
 
-from cassiaford.cli._output import CommandError, NoAnswerError
+from cassiaford.cli._output import CommandError, ExitCode, NoAnswerError
 
 TIMEOUT_S = 3.0
 MAX_ASKED_AT_ONCE = 16
@@ -64,6 +66,15 @@
         )
 
 
+def report_missing(answers: Iterable[InstanceAnswer]) -> None:
+    """Name the instances that did not answer, and end with their exit code."""
+    missing = [answer for answer in answers if answer.error]
+    for answer in missing:
+        typer.echo(f"{answer.instance}: {answer.error}", err=True)
+    if missing:
+        raise typer.Exit(ExitCode.UNAVAILABLE)
+
+
 def _ask_member(member, path, token, fields):
     name, address = member["instance"], member["http_address"]
     try:
--- a/src/cassiaford/cli/_timeline.py
+++ b/src/cassiaford/cli/_timeline.py
@@ -6,12 +6,11 @@
 import typer
 
 from cassiaford.cli._app import app
-from cassiaford.cli._http import ask_members
+from cassiaford.cli._http import ask_members, report_missing
 from cassiaford.cli._options import InstanceOption, JsonOption, TokenOption
 from cassiaford.cli._output import (
     EXIT_CODES_HELP,
     CommandError,
-    ExitCode,
     print_json,
     reporting_errors,
 )
@@ -52,7 +51,7 @@
             for document in answer.document.get("records", [])
         )
         _print(records, as_json, as_html)
-        _report_missing(answers)
+        report_missing(answers)
 
 
 def _print(records, as_json, as_html):
@@ -65,14 +64,6 @@
             typer.echo(text_line(record))
 
 
-def _report_missing(answers):
-    missing = [answer for answer in answers if answer.error]
-    for answer in missing:
-        typer.echo(f"{answer.instance} at {answer.address}: {answer.error}", err=True)
-    if missing:
-        raise typer.Exit(ExitCode.UNAVAILABLE)
-
-
 def _seconds(since):
     if not since:
         return 0.0
