--- a/src/cassiaford/cli/_serve.py
+++ b/src/cassiaford/cli/_serve.py
@@ -57,8 +57,14 @@
 
     def drain_when_asked():
         asked_to_stop.wait()
-        cut.append(instance.drain())
-        finished.set()
+        try:
+            cut.append(instance.drain())
+        except* Exception as group:
+            for error in group.exceptions:
+                typer.echo(f"while stopping: {error!r}", err=True)
+            cut.append(1)
+        finally:
+            finished.set()
 
     threading.Thread(target=drain_when_asked, daemon=True).start()
     try:
--- a/src/cassiaford/instance/_instance.py
+++ b/src/cassiaford/instance/_instance.py
@@ -128,17 +128,26 @@
         self.dispatcher.end_drain()
 
     def stop(self) -> None:
-        """Stop all parts; what is still running is cut."""
+        """Stop all parts; what is still running is cut.
+
+        Every part is stopped, whatever the others do. Raises `ExceptionGroup`
+        with the errors of those that failed.
+        """
         self.stopping.set()
-        self.server.stop_serving()
-        self.orders.stop()
-        self.poller.stop()
-        self.dispatcher.stop(STOP_TIMEOUT_S)
-        self.claims.stop(STOP_TIMEOUT_S)
-        self.limiter.leave()
-        self.limiter.stop()
-        self.suspects.stop()
-        self.fleet.stop()
+        steps = (
+            self.server.stop_serving,
+            self.orders.stop,
+            self.poller.stop,
+            lambda: self.dispatcher.stop(STOP_TIMEOUT_S),
+            lambda: self.claims.stop(STOP_TIMEOUT_S),
+            self.limiter.leave,
+            self.limiter.stop,
+            self.suspects.stop,
+            self.fleet.stop,
+        )
+        errors = [error for step in steps if (error := _error_of(step))]
+        if errors:
+            raise ExceptionGroup("parts that failed to stop", errors)
 
     def _open(self):
         self.server.start_serving()
@@ -259,6 +268,15 @@
         self.journal.record(Event.THREAD_FAILED, part="http", text=text)
 
 
+def _error_of(step):
+    """Return the error that a step raises, or None."""
+    try:
+        step()
+    except Exception as error:
+        return error
+    return None
+
+
 def create_instance(settings: Settings) -> Instance:
     """Return an instance with these settings, not yet started.
 
