--- a/src/cassiaford/metrics/_registry.py
+++ b/src/cassiaford/metrics/_registry.py
@@ -43,6 +43,18 @@
         "cassiaford_time_to_first_token_seconds",
         "From receipt to the first byte of the answer's body.",
     )
+    QUEUE_WAIT = (
+        "cassiaford_queue_wait_seconds",
+        "From receipt to the first choice of a backend server.",
+    )
+    DECISION_TIME = (
+        "cassiaford_placement_seconds",
+        "The choice of a backend server.",
+    )
+    LONGEST_GAP = (
+        "cassiaford_longest_gap_seconds",
+        "The longest time between two arrivals of an answer's bytes.",
+    )
     INTAKE_TIME = (
         "cassiaford_intake_seconds",
         "From receipt to the hand-over to the dispatcher.",
--- a/src/cassiaford/pipeline/_answer_connection.py
+++ b/src/cassiaford/pipeline/_answer_connection.py
@@ -39,6 +39,7 @@
         self.has_body = False
         self.sent_at = clock()
         self.last_byte_at = self.sent_at
+        self.longest_gap_s = 0.0
 
     @property
     def head(self) -> AnswerHead | None:
@@ -72,7 +73,10 @@
         """Parse what came."""
         if self.closed:
             return
-        self.last_byte_at = self.clock()
+        now = self.clock()
+        if self.reader.head is not None:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_byte_at)
+        self.last_byte_at = now
         try:
             self.reader.feed(data)
         except httptools.HttpParserError as error:
--- a/src/cassiaford/pipeline/_exchange.py
+++ b/src/cassiaford/pipeline/_exchange.py
@@ -347,6 +347,7 @@
         if self.job.server is not None:
             self.owner.server_left(self.job, answered=False)
             self.job.server = None
+        self._note_gap()
         usage = self.body.usage if self.body else None
         outcome = Outcome(
             verdict=verdict,
@@ -355,6 +356,7 @@
             usage=usage or self.job.progress.usage,
             refusal=refusal,
             first_token_s=self.first_token_s,
+            timings=self.job.timings,
             body=self.job.copy.content,
             content_type=content_type,
         )
@@ -362,9 +364,14 @@
         if self.closed:
             self.owner.over(self.job)
 
+    def _note_gap(self):
+        if self.connection is not None and self.connection.longest_gap_s:
+            self.job.paused_for(self.connection.longest_gap_s)
+
     def _drop_connection(self, cancel):
         if self.connection is None:
             return
+        self._note_gap()
         self.connection.close()
         self.connection = None
         if cancel:
--- a/src/cassiaford/pipeline/_job.py
+++ b/src/cassiaford/pipeline/_job.py
@@ -2,9 +2,10 @@
 
 import socket
 from collections.abc import Callable
+from dataclasses import replace
 
 from cassiaford.config import BackendServer
-from cassiaford.pipeline._messages import AdmittedRequest, Outcome, Usage
+from cassiaford.pipeline._messages import AdmittedRequest, Outcome, Timings, Usage
 from cassiaford.pipeline._upstream import UpstreamRequest
 from cassiaford.policy import (
     BrokenStream,
@@ -98,6 +99,7 @@
         self.server: BackendServer | None = None
         self.servers = []
         self.excluded = set()
+        self.timings = Timings()
         self.verdicts = []
         self.attempts = 0
         self.resumes = 0
@@ -122,6 +124,17 @@
         if not self.servers or self.servers[-1] != server.name:
             self.servers.append(server.name)
 
+    def waited(self, queue_wait_s: float, decision_s: float) -> None:
+        """Take note of how long the first choice of a server took to come."""
+        self.timings = replace(
+            self.timings, queue_wait_s=queue_wait_s, decision_s=decision_s
+        )
+
+    def paused_for(self, gap_s: float) -> None:
+        """Take note of the longest gap in one attempt's answer."""
+        longest_s = max(gap_s, self.timings.longest_gap_s or 0.0)
+        self.timings = replace(self.timings, longest_gap_s=longest_s)
+
     def failed(self, failure: Failure) -> None:
         """Take note of a failed attempt."""
         self.verdicts.append(failure.verdict)
--- a/src/cassiaford/pipeline/_messages.py
+++ b/src/cassiaford/pipeline/_messages.py
@@ -128,6 +128,20 @@
         return self.prompt_tokens + self.output_tokens
 
 
+@dataclass(frozen=True)
+class Timings:
+    """How long the steps of a request took, in seconds; None if not taken.
+
+    `queue_wait_s` runs from receipt to the first choice of a server,
+    `decision_s` is the time of that choice, and `longest_gap_s` the longest
+    time between two arrivals of its answer's bytes.
+    """
+
+    queue_wait_s: float | None = None
+    decision_s: float | None = None
+    longest_gap_s: float | None = None
+
+
 @dataclass(frozen=True)
 class Outcome:
     """How a request ended.
@@ -143,5 +157,6 @@
     usage: Usage | None = None
     refusal: Refusal | None = None
     first_token_s: float | None = None
+    timings: Timings = Timings()
     body: bytes = field(default=b"", repr=False)
     content_type: str = ""
--- a/src/cassiaford/pipeline/_settle.py
+++ b/src/cassiaford/pipeline/_settle.py
@@ -78,10 +78,16 @@
         service_class = request.service_class.value
         self._count_verdict(service_class, request.customer_name, outcome.verdict)
         label = Label("class", service_class)
-        if outcome.first_token_s is not None:
-            self.metrics.observe(
-                Quantity.TIME_TO_FIRST_TOKEN, outcome.first_token_s, label
-            )
+        timings = outcome.timings
+        durations = (
+            (Quantity.TIME_TO_FIRST_TOKEN, outcome.first_token_s),
+            (Quantity.QUEUE_WAIT, timings.queue_wait_s),
+            (Quantity.DECISION_TIME, timings.decision_s),
+            (Quantity.LONGEST_GAP, timings.longest_gap_s),
+        )
+        for quantity, seconds in durations:
+            if seconds is not None:
+                self.metrics.observe(quantity, seconds, label)
         if outcome.usage is not None:
             usage = outcome.usage
             self.metrics.count(Counter.PROMPT_TOKENS, amount=usage.prompt_tokens)
--- a/src/cassiaford/pipeline/_waiting.py
+++ b/src/cassiaford/pipeline/_waiting.py
@@ -5,6 +5,7 @@
 
 import collections
 import random
+import time
 from collections.abc import Callable
 
 from cassiaford.config import BackendServer, Configuration
@@ -47,6 +48,7 @@
         self.suspects = suspects
         self.health = ServerHealth()
         self.budget = RetryBudget(now)
+        self.decision_s = 0.0
         self.queued = {}
         self.again = collections.deque()
 
@@ -108,14 +110,19 @@
         if ticket is None:
             return None
         self.budget.first_try(now)
-        return self.queued.pop(ticket.request_id)
+        job = self.queued.pop(ticket.request_id)
+        received_at = job.request.authenticated.caller.received_at
+        job.waited(now - received_at, self.decision_s)
+        return job
 
     def _place(self, job, now):
         """Choose a server for a job; the choice is made again at each look."""
         servers = self._allowed_servers(job, now)
         views = self.health.views(servers, now)
         request = job.placement_request()
+        started = time.perf_counter()
         placement = self.placement.place(request, views, now, self.rng)
+        self.decision_s = time.perf_counter() - started
         if placement is None:
             return False
         job.sent_to(_named(servers, placement.server))
