--- a/src/cassiaford/fleet/_orders.py
+++ b/src/cassiaford/fleet/_orders.py
@@ -107,8 +107,9 @@
 
     def is_serving(self, server: str, model: str) -> bool:
         """Return whether an engine can take requests for a model now."""
-        with self._lock:
-            return self.orderer.is_serving(server, model)
+        # Asked for every server at each placement, so without the lock: what
+        # is read is replaced as a whole and never changed.
+        return self.orderer.is_serving(server, model)
 
     def is_current(self, server: str, model: Model) -> bool:
         """Return whether an engine surely runs just this version of a model."""
--- a/src/cassiaford/policy/_orders.py
+++ b/src/cassiaford/policy/_orders.py
@@ -349,7 +349,10 @@
 
     def _is_loading(self, server, model):
         loads = self.table.loads
-        return any(load.server == server and load.model == model for load in loads)
+        # Mostly empty, and asked for every server at each placement.
+        return bool(loads) and any(
+            load.server == server and load.model == model for load in loads
+        )
 
     def _differs(self, want, now):
         """Return whether a fresh report shows something else than is wanted."""
