--- a/src/cassiaford/pipeline/_settle.py
+++ b/src/cassiaford/pipeline/_settle.py
@@ -99,10 +99,7 @@
 
     def _record_refusal(self, refusal, subject):
         self.metrics.count(Counter.REFUSALS, Label("reason", refusal.reason.code))
-        self.journal.record(
-            Event.REQUEST_REFUSED,
-            subject,
-            reason=refusal.reason.code,
-            verdict=refusal.verdict.value,
-            retry_after_s=refusal.retry_after_s,
-        )
+        details = {"reason": refusal.reason.code, "verdict": refusal.verdict.value}
+        if refusal.retry_after_s is not None:
+            details["retry_after_s"] = round(refusal.retry_after_s, 3)
+        self.journal.record(Event.REQUEST_REFUSED, subject, **details)
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -1,6 +1,7 @@
 """Tests of the filters before the dispatcher, and of reading model calls."""
 
 import json
+import time
 import unittest
 
 from cassiaford.config import (
@@ -10,6 +11,7 @@
     Route,
     issue_key,
 )
+from cassiaford.metrics import Metrics
 from cassiaford.pipeline import (
     AdmitFilter,
     AuthenticateFilter,
@@ -20,7 +22,9 @@
     ServiceClass,
     run_filters,
 )
+from cassiaford.pipeline._settle import Settler
 from cassiaford.settings import LimitSettings
+from cassiaford.timeline import HybridClock, Journal
 from cassiaford.verdict import Refusal, RefusalReason, Verdict, refuse
 
 ISSUED = issue_key("academy")
@@ -194,6 +198,26 @@
         )
 
 
+class RefusalRecordTest(unittest.TestCase):
+    def details_of(self, refusal):
+        journal = Journal("entry-1", 1, HybridClock(time.time), write=lambda *_: None)
+        settler = Settler(CountingLimiter(), Metrics(), journal, lambda request: None)
+        caller = ReceiveFilter().process(raw("/lookup"))
+        settler.settle_refused(caller, "academy", refusal)
+        (record,) = journal.snapshot()
+        return {detail.name: detail.value for detail in record.details}
+
+    def test_a_refusal_is_recorded_with_when_to_come_back(self):
+        refusal = refuse(RefusalReason.RATE_LIMITED, "used up", 3.845760320666555)
+        known = {"reason": "rate_limit_exceeded", "verdict": "not_run"}
+        expected = known | {"retry_after_s": "3.846"}
+        self.assertEqual(self.details_of(refusal), expected)
+
+    def test_a_refusal_that_stays_has_no_time_to_come_back(self):
+        details = self.details_of(refuse(RefusalReason.INVALID_KEY, "not granted"))
+        self.assertEqual(set(details), {"reason", "verdict"})
+
+
 class RouteTest(unittest.TestCase):
     def test_an_open_route_must_be_repeatable(self):
         with self.assertRaises(ValueError):
