--- a/src/cassiaford/fleet/_rates.py
+++ b/src/cassiaford/fleet/_rates.py
@@ -143,12 +143,17 @@
 
     def _refuse(self, customer, tokens):
         wait_s = self.book.retry_after(customer, tokens, self.clock())
-        return refuse(
-            RefusalReason.RATE_LIMITED,
-            f"the customer's rate is used up; {tokens} tokens will be there"
-            f" in {wait_s:.2f} s",
-            wait_s,
-        )
+        if self.book.in_touch():
+            text = (
+                f"the customer's rate is used up; {tokens} tokens will be there"
+                f" in {wait_s:.2f} s"
+            )
+        else:
+            text = (
+                "this instance has no more of the customer's rate, and not all"
+                " instances that share it answer; ask another instance"
+            )
+        return refuse(RefusalReason.RATE_LIMITED, text, wait_s)
 
     # Peers and time.
 
--- a/tests/test_rate_limiter.py
+++ b/tests/test_rate_limiter.py
@@ -65,6 +65,18 @@
         limiter.refund("shop", 2500)
         self.assertIsNone(limiter.charge(SHOP, 2500))
 
+    def test_an_instance_out_of_touch_does_not_blame_the_customer(self):
+        limiter = self.limiter("entry-1")
+        self.assertIsNone(limiter.charge(SHOP, 5000))
+        self.assertIn("rate is used up", limiter.charge(SHOP, 2500).message)
+        self.key_value.down = True
+        for transport in self.fleet.values():
+            self.addCleanup(transport.close)
+        self.fleet = {}
+        refusal = self.limiter("entry-2").charge(SHOP, 1)
+        self.assertIs(refusal.reason, RefusalReason.RATE_LIMITED)
+        self.assertIn("ask another instance", refusal.message)
+
     def test_an_instance_borrows_while_the_service_is_down(self):
         first = self.limiter("entry-1")
         self.key_value.down = True
