--- a/bench/fleet_shares.py
+++ b/bench/fleet_shares.py
@@ -9,13 +9,13 @@
 import random
 from dataclasses import dataclass, field
 
+from cassiaford.fleet._rates import CHARGE_WAIT_S
 from cassiaford.policy import Bucket, Holder, Ledger, Limit, ShareBook
 
 CUSTOMER = "academy"
 TICK_S = 0.05
 LEDGER_S = 0.5
 CALL_S = 0.004
-CHARGE_WAIT_S = 0.01
 # The platform's list drops an instance this long after it died.
 LIST_LAG_S = 10.0
 LEASE_TTL_S = 10.0
--- a/src/cassiaford/pipeline/_dispatch.py
+++ b/src/cassiaford/pipeline/_dispatch.py
@@ -11,13 +11,13 @@
 import threading
 import time
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 
 from cassiaford.config import Configuration
 from cassiaford.engines import CacheEvents, LoadReport
 from cassiaford.logs import Event
 from cassiaford.pipeline._answers import refusal_response
-from cassiaford.pipeline._forward import ForwardError, cancel_request, send_request
+from cassiaford.pipeline._background import BackgroundCalls
+from cassiaford.pipeline._forward import ForwardError, send_request
 from cassiaford.pipeline._job import Job
 from cassiaford.pipeline._limits import exchange_limits
 from cassiaford.pipeline._messages import AdmittedRequest, Outcome
@@ -40,11 +40,6 @@
 from cassiaford.verdict import Refusal, Verdict
 
 DISPATCH_THREADS = 8
-SETTLE_THREADS = 4
-CANCEL_THREADS = 2
-# Cancellations in waiting beyond this are dropped: the server will see that
-# its connection is closed.
-MAX_WAITING_CANCELS = 256
 # Waiting requests are looked at this often even if nothing has changed.
 QUEUE_INTERVAL_S = 0.05
 # A cut is one turn of the event loop.
@@ -93,9 +88,9 @@
         self.cutting = False
         self.relay = Relay(self, exchange_limits(settings))
         self.threads = []
-        self.settlers = ThreadPoolExecutor(SETTLE_THREADS, "settle")
-        self.cancellers = ThreadPoolExecutor(CANCEL_THREADS, "cancel")
-        self.waiting_cancels = 0
+        self.background = BackgroundCalls(
+            credential, settings.connect_timeout_s, self.fault
+        )
         self._changed = threading.Condition()
 
     @property
@@ -126,8 +121,7 @@
         for thread in self.threads:
             thread.join(max(0.0, give_up_at - time.monotonic()))
         self.relay.stop(max(0.0, give_up_at - time.monotonic()))
-        self.settlers.shutdown()
-        self.cancellers.shutdown(cancel_futures=True)
+        self.background.stop()
 
     def drain(self, timeout_s: float) -> int:
         """Wait until every answer is delivered; return how many were cut."""
@@ -155,7 +149,7 @@
         `on_settled` is called exactly once, on another thread.
         """
         if caller.fileno() < 0:
-            self.settlers.submit(self._report, request, on_settled, UNSEEN)
+            self.background.settle(request, on_settled, UNSEEN)
             return
         received_at = request.authenticated.caller.received_at
         job = Job(
@@ -255,10 +249,7 @@
         server = job.server
         if job.request.call is None or server is None:
             return
-        if self.waiting_cancels >= MAX_WAITING_CANCELS:
-            return
-        self.waiting_cancels += 1
-        self.cancellers.submit(self._cancel, server.address, job.request.request_id)
+        self.background.cancel(server.address, job.request.request_id)
 
     def first_byte(self, job: Job) -> None:
         """Tell placement that the prompt has been computed."""
@@ -267,7 +258,7 @@
 
     def settled(self, job: Job, outcome: Outcome) -> None:
         """Report the outcome, on another thread."""
-        self.settlers.submit(self._report, job.request, job.on_settled, outcome)
+        self.background.settle(job.request, job.on_settled, outcome)
 
     def caller_left(self, job: Job) -> None:
         """Record that the caller left before its answer was complete."""
@@ -356,23 +347,7 @@
             job.caller.send(refusal_response(refusal, job.request.request_id))
         job.caller.close()
         outcome = Outcome(refusal.verdict, refusal.reason.status, refusal=refusal)
-        self._report(job.request, job.on_settled, outcome)
-
-    # Threads for settling and cancelling.
-
-    def _report(self, request, on_settled, outcome):
-        try:
-            on_settled(request, outcome)
-        except Exception as error:
-            self.fault(error)
-
-    def _cancel(self, address, request_id):
-        try:
-            cancel_request(
-                address, request_id, self.credential, self.settings.connect_timeout_s
-            )
-        finally:
-            self.waiting_cancels -= 1
+        self.background.settle_now(job.request, job.on_settled, outcome)
 
     def _subject(self, job):
         return Subject(
