--- a/src/cassiaford/policy/_fair_queue.py
+++ b/src/cassiaford/policy/_fair_queue.py
@@ -38,8 +38,8 @@
     Examples
     --------
     >>> queue = create_fair_queue()
-    >>> queue.offer(Ticket("r1", "ramen", "batch", 4000, 9.0), 0.0)
-    >>> queue.offer(Ticket("r2", "ramen", "interactive", 900, 9.0), 0.0)
+    >>> queue.offer(Ticket("r1", "customer-1", "batch", 4000, 9.0), 0.0)
+    >>> queue.offer(Ticket("r2", "customer-1", "interactive", 900, 9.0), 0.0)
     >>> queue.take(0.1, lambda ticket: True).request_id
     'r2'
     """
