--- /dev/null
+++ b/src/cassiaford/_event_splitter.py
@@ -0,0 +1,54 @@
+"""Cutting a stream of server-sent events into whole events.
+
+The format is that of the HTML standard's section on server-sent events; an
+event ends at an empty line.
+"""
+
+import re
+
+# An event longer than this is taken for a broken stream.
+MAX_EVENT_BYTES = 4 * 1024 * 1024
+
+_END_OF_EVENT = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+
+
+class StreamError(ValueError):
+    """A stream that holds no valid events."""
+
+
+class EventSplitter:
+    """Collects bytes until events are whole.
+
+    Examples
+    --------
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b"data: 1\\n\\ndata: ")
+    [b'data: 1\\n\\n']
+    >>> splitter.feed(b"2\\n\\n")
+    [b'data: 2\\n\\n']
+    """
+
+    def __init__(self):
+        self.partial = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the events that are whole now, each with its empty line."""
+        if self.partial:
+            data = self.partial + data
+        elif _is_one_event(data):
+            return [data]
+        events = []
+        start = 0
+        for match in _END_OF_EVENT.finditer(data):
+            events.append(data[start : match.end()])
+            start = match.end()
+        self.partial = data[start:] if start else data
+        if len(self.partial) > MAX_EVENT_BYTES:
+            raise StreamError("an event is too long")
+        return events
+
+
+def _is_one_event(data):
+    """Return whether data are one whole event, as they mostly are."""
+    end = data.find(b"\n\n")
+    return end >= 0 and end == len(data) - 2 and b"\r" not in data
--- /dev/null
+++ b/src/cassiaford/gateway/__init__.py
@@ -0,0 +1,116 @@
+"""The gateway: an entry instance as one event loop, on a shared platform.
+
+It speaks through a `Dialect`, `Records` and a `SharedStore`, which an adapter
+implements for the platform that it runs on.
+"""
+
+from cassiaford.gateway._configuration import (
+    CallerLimits,
+    Configuration,
+    Customer,
+    EngineSpec,
+    RequestKind,
+    Route,
+    Service,
+    Target,
+)
+from cassiaford.gateway._dialect import (
+    Dialect,
+    Directory,
+    MalformedError,
+    ReadinessProbe,
+    Records,
+)
+from cassiaford.gateway._engine_control import (
+    EngineCallError,
+    EngineControl,
+    EngineReport,
+    OrderAnswer,
+    VersionOrder,
+)
+from cassiaford.gateway._gateway import Gateway, GatewayWorld
+from cassiaford.gateway._http_caller import CallFailedError, HttpCaller, Reply
+from cassiaford.gateway._messages import (
+    HOP_BY_HOP,
+    BackendServer,
+    Forwarding,
+    Headers,
+    HttpRequest,
+    PromptPart,
+    RequestFacts,
+    ResponseFacts,
+    ServerLoad,
+)
+from cassiaford.gateway._server_connection import ConnectionPool
+from cassiaford.gateway._settings import (
+    GatewayAddresses,
+    GatewaySettings,
+    ResendLimits,
+)
+from cassiaford.gateway._store import (
+    Change,
+    Changes,
+    Committed,
+    Condition,
+    Conflict,
+    HistoryLostError,
+    Item,
+    LeaseEndedError,
+    Page,
+    SharedStore,
+    StoreError,
+    StoreRefusedError,
+    Write,
+)
+
+__all__ = [
+    "HOP_BY_HOP",
+    "BackendServer",
+    "CallFailedError",
+    "CallerLimits",
+    "Change",
+    "Changes",
+    "Committed",
+    "Condition",
+    "Configuration",
+    "Conflict",
+    "ConnectionPool",
+    "Customer",
+    "Dialect",
+    "Directory",
+    "EngineCallError",
+    "EngineControl",
+    "EngineReport",
+    "EngineSpec",
+    "Forwarding",
+    "Gateway",
+    "GatewayAddresses",
+    "GatewaySettings",
+    "GatewayWorld",
+    "Headers",
+    "HistoryLostError",
+    "HttpCaller",
+    "HttpRequest",
+    "Item",
+    "LeaseEndedError",
+    "MalformedError",
+    "OrderAnswer",
+    "Page",
+    "PromptPart",
+    "ReadinessProbe",
+    "Records",
+    "Reply",
+    "RequestFacts",
+    "RequestKind",
+    "ResendLimits",
+    "ResponseFacts",
+    "Route",
+    "ServerLoad",
+    "Service",
+    "SharedStore",
+    "StoreError",
+    "StoreRefusedError",
+    "Target",
+    "VersionOrder",
+    "Write",
+]
--- /dev/null
+++ b/src/cassiaford/gateway/_beliefs.py
@@ -0,0 +1,206 @@
+"""What a gateway counts and remembers to place requests by."""
+
+import random
+from dataclasses import dataclass
+
+from cassiaford.gateway._configuration import Customer, Route
+from cassiaford.gateway._messages import BackendServer, RequestFacts
+from cassiaford.gateway._view import View, digest
+from cassiaford.gateway.policy import (
+    EngineBook,
+    EngineView,
+    Generation,
+    Placement,
+    PlainServer,
+    Prefix,
+    ServerTrust,
+    ServiceBook,
+)
+
+# Answers on replaced weights count for a fifth less from 1.5 s after newer
+# ones were named; an engine that has them is worth this wait.
+OLD_WEIGHTS_AFTER_S = 1.5
+OLD_WEIGHTS_COST_S = 0.25
+# An engine that is yet to load new weights will lose what it reads now.
+SOON_EMPTIED_COST_S = 0.1
+# It loads once its requests have ended, so each long one keeps it from that;
+# a token takes about this long on a busy engine.
+TOKEN_S = 0.012
+
+
+@dataclass(frozen=True)
+class Choice:
+    """The backend server chosen for one attempt."""
+
+    key: int
+    server: BackendServer
+    placement: Placement | None = None
+
+    @property
+    def first_token_s(self) -> float:
+        """When the answer is expected to begin, in seconds."""
+        return self.placement.first_token_s if self.placement else 0.0
+
+
+class Placer:
+    """Chooses backend servers, and counts what was sent to them.
+
+    `weights_due_s` is the time after which no request may begin on weights
+    that were replaced.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        engines: EngineBook,
+        services: ServiceBook,
+        trust: ServerTrust,
+        data_centre: str,
+        weights_due_s: float,
+        rng: random.Random,
+    ):
+        self.view = view
+        self.engines = engines
+        self.services = services
+        self.trust = trust
+        self.data_centre = data_centre
+        self.weights_due_s = weights_due_s
+        self.rng = rng
+        self.held: frozenset[int] = frozenset()
+        self.store_steady = lambda since: True
+
+    def choose(
+        self,
+        service: str,
+        facts: RequestFacts,
+        customer: Customer | None,
+        tried: set[int],
+        now: float,
+    ) -> Choice | None:
+        """Return the best usable backend server of a service, or None."""
+        servers = {
+            key: server
+            for key, server in self.view.servers.get(service, {}).items()
+            if key not in tried and not self.trust.away(key, now)
+        }
+        if facts.is_generation:
+            return self._choose_engine(servers, facts, customer, now)
+        plain = [
+            PlainServer(
+                key,
+                server.slots,
+                server.data_centre == self.data_centre,
+                self.trust.cost_s(key, now),
+            )
+            for key, server in servers.items()
+        ]
+        chosen = self.services.choose(plain, self.rng)
+        if chosen is None:
+            return None
+        return Choice(chosen.key, servers[chosen.key])
+
+    def started(self, choice: Choice, facts: RequestFacts, customer, now: float):
+        """Take note of a request that is sent."""
+        if choice.placement is None:
+            self.services.started(choice.key)
+        else:
+            request = self._generation(facts, customer)
+            self.engines.started(request, choice.placement, now)
+
+    def first_token(self, choice: Choice, facts: RequestFacts, now: float) -> None:
+        """Take note that an answer has begun."""
+        if choice.placement is not None:
+            self.engines.first_token(facts.attempt_id, choice.key, now)
+
+    def ended(self, choice: Choice, facts: RequestFacts) -> None:
+        """Take note that an attempt is over."""
+        if choice.placement is None:
+            self.services.ended(choice.key)
+        else:
+            self.engines.ended(facts.attempt_id, choice.key)
+
+    def turned_away(self, choice: Choice, facts: RequestFacts, now: float) -> None:
+        """Take note that a server did not start a request."""
+        if choice.placement is not None:
+            self.engines.turned_away(facts.attempt_id, choice.placement)
+        self.trust.shed(choice.key, now)
+
+    def back_in(self, service: str, now: float) -> float:
+        """Return the seconds until one of the servers is tried again."""
+        servers = self.view.servers.get(service, {})
+        return min((self.trust.back_in(key, now) for key in servers), default=1.0)
+
+    def _choose_engine(self, servers, facts, customer, now):
+        spec = self.view.configuration.services
+        free = {key: s for key, s in servers.items() if key not in self.held}
+        views = [
+            EngineView(
+                key,
+                server.server_id,
+                server.slots,
+                _memory(spec, server.service),
+                self.trust.cost_s(key, now) + self._weights_cost(server, facts, now),
+                self._new_unit_cost(server, facts, now),
+            )
+            for key, server in (free or servers).items()
+            if not self._weights_overdue(server, facts, now)
+        ]
+        request = self._generation(facts, customer)
+        placement = self.engines.place(request, views, now, self.rng)
+        if placement is None:
+            return None
+        return Choice(placement.engine.key, servers[placement.engine.key], placement)
+
+    def _weights_cost(self, server, facts, now):
+        age = self._behind_for(server, facts, now)
+        if age <= 0.0:
+            return 0.0
+        cost = TOKEN_S * facts.output_tokens
+        return cost + (OLD_WEIGHTS_COST_S if age > OLD_WEIGHTS_AFTER_S else 0.0)
+
+    def _new_unit_cost(self, server, facts, now):
+        behind = self._behind_for(server, facts, now) > 0.0
+        return SOON_EMPTIED_COST_S if behind else 0.0
+
+    def _weights_overdue(self, server, facts, now):
+        age = self._behind_for(server, facts, now)
+        return age > self.weights_due_s and self.store_steady(now - age)
+
+    def _behind_for(self, server, facts, now):
+        """Return for how long newer weights than a server's have been named."""
+        version = server.versions.get(facts.model)
+        if version is None:
+            return 0.0
+        return self.view.named.behind_for(facts.model, version, now)
+
+    def _generation(self, facts, customer):
+        scope = customer.name if customer is not None and customer.isolated else ""
+        key = f"{facts.model}|{scope}"
+        levels = []
+        tokens = 0
+        for part in facts.parts[:-1]:
+            key = f"{key}|{part.part_id}"
+            tokens += part.tokens
+            levels.append(Prefix(key.encode(), tokens))
+        return Generation(
+            request_id=facts.attempt_id,
+            levels=tuple(levels),
+            prompt_tokens=facts.prompt_tokens,
+            output_tokens=facts.output_tokens,
+        )
+
+
+def _memory(services, name):
+    service = services.get(name)
+    engine = service.engine if service is not None else None
+    return engine.cache_tokens if engine is not None else 1 << 40
+
+
+def urgency_of(route: Route, customer: Customer | None) -> int:
+    """Return the rank of a request, 0 for the most urgent."""
+    if customer is not None and customer.priority is not None:
+        return customer.priority
+    return route.priority
+
+
+__all__ = ["Choice", "Placer", "digest", "urgency_of"]
--- /dev/null
+++ b/src/cassiaford/gateway/_configuration.py
@@ -0,0 +1,155 @@
+"""The configuration that a gateway serves: routes, services and customers."""
+
+import bisect
+import enum
+import random
+from dataclasses import dataclass, field
+
+
+class RequestKind(enum.Enum):
+    """What a route's requests allow."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True)
+class Target:
+    """A service that a route sends a share of its requests to."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """The requests of one host below one path prefix.
+
+    `time_out_s` bounds the whole answer, `target_latency_s` is the time
+    within which it should come or, of a stream, begin. `max_attempts` is the
+    number of backend servers that may run one request.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    targets: tuple[Target, ...]
+    time_out_s: float
+    target_latency_s: float
+    priority: int = 0
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.kind is RequestKind.STREAM:
+            return self.resumable
+        return self.kind is RequestKind.SAFE
+
+
+@dataclass(frozen=True)
+class EngineSpec:
+    """What a service says of its model engines."""
+
+    slots: int
+    cache_tokens: int
+    models: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class Service:
+    """A set of interchangeable backend servers."""
+
+    name: str
+    max_connections: int
+    engine: EngineSpec | None = None
+
+
+@dataclass(frozen=True)
+class Customer:
+    """A customer and its limits over all instances together.
+
+    `rate` is in tokens a second and `burst` in tokens; a rate of 0 is no
+    limit. A request that states no tokens counts as `plain_request_tokens`.
+    """
+
+    name: str
+    priority: int | None = None
+    isolated: bool = False
+    rate: float = 0.0
+    burst: float = 0.0
+    plain_request_tokens: float = 1.0
+
+
+@dataclass(frozen=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_time_out_s: float = 3.0
+    idle_time_out_s: float = 15.0
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """One version of the operators' configuration, in full.
+
+    `customers_by_key` is empty if requests need no key.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    customers: dict[str, Customer] = field(default_factory=dict)
+    customers_by_key: dict[str, Customer] = field(default_factory=dict, repr=False)
+    limits: CallerLimits = CallerLimits()
+
+
+class RouteTable:
+    """Finds the route with the longest matching prefix on a host.
+
+    Examples
+    --------
+    >>> route = Route("r", "a.example", "/x/", RequestKind.SAFE, (), 1.0, 0.1)
+    >>> RouteTable((route,)).find("a.example", "/x/y").name
+    'r'
+    >>> RouteTable((route,)).find("a.example", "/z/") is None
+    True
+    """
+
+    def __init__(self, routes: tuple[Route, ...]):
+        self._by_prefix: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            host = self._by_prefix.setdefault(route.host.lower(), {})
+            host[route.path_prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a path, or None."""
+        prefixes = self._by_prefix.get(host.lower())
+        if prefixes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+def choose_service(route: Route, rng: random.Random) -> str:
+    """Return one of a route's services, by weight."""
+    targets = route.targets
+    if len(targets) == 1:
+        return targets[0].service
+    bounds = []
+    total = 0.0
+    for target in targets:
+        total += target.weight
+        bounds.append(total)
+    index = bisect.bisect_right(bounds, rng.random() * total)
+    return targets[min(index, len(targets) - 1)].service
--- /dev/null
+++ b/src/cassiaford/gateway/_event_log.py
@@ -0,0 +1,46 @@
+"""The log of one gateway: numbered events as JSON lines, bounded in volume."""
+
+import itertools
+import time
+
+from cassiaford.logs import Event, write_line
+
+# Lines a second over a long time, and in a burst; what is over is counted.
+LINES_PER_S = 60.0
+BURST_LINES = 300.0
+# Of requests that went well, one in so many is logged.
+SAMPLE_EVERY = 50
+
+
+class EventLog:
+    """Writes events with the instance's name and the configuration's version."""
+
+    def __init__(self, instance: str, incarnation: int):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.configuration = 0
+        self.dropped = 0
+        self._level = BURST_LINES
+        self._updated_at = time.monotonic()
+        self._completed = itertools.count()
+
+    def write(self, event: Event, **details: object) -> None:
+        """Write one line; details must hold neither a key nor a prompt."""
+        now = time.monotonic()
+        earned = (now - self._updated_at) * LINES_PER_S
+        self._level = min(BURST_LINES, self._level + earned)
+        self._updated_at = now
+        if self._level < 1.0:
+            self.dropped += 1
+            return
+        self._level -= 1.0
+        fields = {"instance": self.instance, "configuration": self.configuration}
+        if self.dropped:
+            fields["dropped_lines"] = self.dropped
+            self.dropped = 0
+        write_line(event.level, f"CF{event.number} {event.text}", fields | details)
+
+    def write_sampled(self, event: Event, **details: object) -> None:
+        """Write one line of many of an event that is no trouble."""
+        if next(self._completed) % SAMPLE_EVERY == 0:
+            self.write(event, one_of=SAMPLE_EVERY, **details)
--- /dev/null
+++ b/src/cassiaford/gateway/_exchange.py
@@ -0,0 +1,323 @@
+"""The way of one request: placed, sent, sent again if it may be, relayed."""
+
+import asyncio
+import enum
+import random
+from dataclasses import dataclass, field
+
+from cassiaford.gateway._attempt import (
+    Answer,
+    Attempt,
+    EventReader,
+    last_event_id,
+    without_framing,
+)
+from cassiaford.gateway._beliefs import Choice, Placer, urgency_of
+from cassiaford.gateway._caller_connection import CallerConnection
+from cassiaford.gateway._configuration import Customer, RequestKind, Route
+from cassiaford.gateway._dialect import Dialect
+from cassiaford.gateway._event_log import EventLog
+from cassiaford.gateway._messages import Forwarding, HttpRequest, RequestFacts
+from cassiaford.gateway._server_connection import ConnectionPool, ExchangeError
+from cassiaford.gateway.policy import SendBudget, ServerTrust
+from cassiaford.logs import Event
+from cassiaford.verdict import Failure, Refusal, RefusalReason, Verdict, refuse
+
+# Sends of one request, also those that servers turn away.
+MAX_SENDS = 4
+# A repeatable request goes to another server when its answer has not begun
+# after so many times its target latency, within these bounds.
+STALL_FACTOR = 3.0
+MIN_STALL_S = 0.5
+MAX_STALL_S = 1.5
+# Callers give up a stream after a gap of two seconds; a gap this long leaves
+# time to go on elsewhere.
+STREAM_GAP_S = 1.2
+# A caller that is refused for want of servers returns after this at least;
+# up to twice as long, so that returns spread.
+RETURN_S = 0.15
+
+
+class _Sent(enum.Enum):
+    """What became of an attempt that brought no answer to pass on."""
+
+    AGAIN = "again"
+    FINAL = "final"
+
+
+@dataclass
+class Job:
+    """A request on its way, with what was decided about it."""
+
+    request: HttpRequest = field(repr=False)
+    facts: RequestFacts
+    route: Route
+    customer: Customer | None
+    service: str
+    connection: CallerConnection = field(repr=False)
+    ends_at: float
+    sends: int = 0
+    runs: int = 0
+    verdict: Verdict = Verdict.NOT_RUN
+    tried: set[int] = field(default_factory=set)
+    resume_after: str | None = None
+    head_sent: bool = False
+    failure: Failure | None = None
+    server: str = ""
+    expected_s: float = 0.0
+    first_s: float | None = None
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether another server may run the request now."""
+        if self.verdict is Verdict.NOT_RUN:
+            return not self.head_sent
+        if not self.route.idempotent or self.runs >= self.route.max_attempts:
+            return False
+        return not self.head_sent or self.resume_after is not None
+
+
+@dataclass(frozen=True)
+class ExchangeParts:
+    """What exchanges share."""
+
+    dialect: Dialect
+    placer: Placer
+    trust: ServerTrust
+    pool: ConnectionPool
+    budgets: dict[str, SendBudget]
+    log: EventLog
+    rng: random.Random
+
+
+class Exchange:
+    """Serves one job, or returns the refusal that ends it."""
+
+    def __init__(self, job: Job, parts: ExchangeParts, instances: int):
+        self.job = job
+        self.parts = parts
+        self.instances = instances
+        self.loop = asyncio.get_running_loop()
+
+    async def run(self) -> Refusal | None:
+        """Serve the request; return a refusal if nothing of it was served."""
+        job = self.job
+        budget = self.parts.budgets[job.service]
+        budget.request(self.loop.time())
+        try:
+            async with asyncio.timeout_at(job.ends_at):
+                return await self._send_until_served(budget)
+        except TimeoutError:
+            job.failure = Failure.REQUEST_TIMEOUT
+            return self._failed(RefusalReason.BACKEND_TIMEOUT)
+
+    async def _send_until_served(self, budget):
+        job = self.job
+        while True:
+            now = self.loop.time()
+            choice = self._choose(now)
+            if choice is None:
+                return self._none_usable(now)
+            if job.sends and not budget.resend(now, self.instances):
+                return self._failed(RefusalReason.RETRIES_EXHAUSTED)
+            if await self._attempt(choice) is not _Sent.AGAIN:
+                return None if job.failure is None else self._failed()
+            if not job.may_run_again or job.sends >= MAX_SENDS:
+                return self._failed()
+            self._log_again(choice)
+
+    def _choose(self, now):
+        job = self.job
+        placer = self.parts.placer
+        choice = placer.choose(job.service, job.facts, job.customer, job.tried, now)
+        if choice is not None and now + choice.first_token_s > job.ends_at:
+            return None
+        return choice
+
+    async def _attempt(self, choice):
+        """Send to one server; the answer is passed on, or its failure noted."""
+        job = self.job
+        job.tried.add(choice.key)
+        job.server = choice.server.server_id
+        job.expected_s = choice.first_token_s
+        attempt = Attempt(self.parts.dialect, self.parts.pool, self._forwarding(choice))
+        placer = self.parts.placer
+        placer.started(choice, job.facts, job.customer, self.loop.time())
+        try:
+            answer = await self._answer(attempt, choice)
+            if answer is None:
+                return _Sent.AGAIN
+            return await self._pass_on(attempt, answer, choice)
+        except ExchangeError as error:
+            return self._note_failure(attempt, choice, error)
+        finally:
+            attempt.cancel()
+            placer.ended(choice, job.facts)
+
+    async def _answer(self, attempt, choice):
+        """Return the answer's head; None if its server's failure is replaced."""
+        job = self.job
+        send = attempt.send(job.request, job.facts.attempt_id)
+        try:
+            async with asyncio.timeout(self._stall_s()):
+                answer = await send
+        except TimeoutError as error:
+            raise ExchangeError(Failure.FIRST_BYTE_TIMEOUT) from error
+        finally:
+            if attempt.sent:
+                job.sends += 1
+        job.runs += 1
+        job.verdict = Verdict.MAY_HAVE_RUN
+        if answer.head.status < 500:
+            return answer
+        self.parts.trust.failed(choice.key, self.loop.time())
+        if not job.may_run_again or job.head_sent:
+            return answer
+        job.failure = Failure.OVERLOADED
+        budget = self.parts.budgets[job.service]
+        now = self.loop.time()
+        again = budget.allows(now, self.instances) and self._choose(now) is not None
+        return None if again else answer
+
+    async def _pass_on(self, attempt, answer, choice):
+        if self.job.route.kind is RequestKind.STREAM and answer.succeeded:
+            await self._relay_events(attempt, answer, choice)
+        elif self.job.head_sent:
+            raise ExchangeError(Failure.UNKNOWN_STREAM, f"{answer.head.status}")
+        else:
+            await self._relay_whole(attempt, answer)
+        attempt.finish()
+        self.job.failure = None
+        self.job.verdict = Verdict.RAN
+        if answer.head.status < 500:
+            self.parts.trust.answered(choice.key, self.loop.time())
+        return _Sent.FINAL
+
+    async def _relay_whole(self, attempt, answer: Answer):
+        connection = self.job.connection
+        body = await attempt.body(answer)
+        head = answer.head
+        headers = self.parts.dialect.returned_headers(head.headers)
+        length = len(body) if body is not None else head.length
+        connection.send_head(head.status, head.reason, without_framing(headers), length)
+        self.job.head_sent = True
+        self._note_first()
+        if body is None:
+            while data := await answer.connection.chunk():
+                connection.send_body(data)
+                await connection.drain()
+        else:
+            connection.send_body(body)
+        connection.end()
+
+    async def _relay_events(self, attempt, answer, choice):
+        job = self.job
+        reader = EventReader(answer)
+        # A stream that cannot go on elsewhere is waited for.
+        gap_s = STREAM_GAP_S if job.route.resumable else None
+        while events := await reader.next(gap_s):
+            if job.first_s is None or job.sends > 1:
+                now = self.loop.time()
+                self.parts.placer.first_token(choice, job.facts, now)
+            self._send_events(answer, events)
+            await job.connection.drain()
+        if not job.head_sent:
+            self._send_events(answer, b"")
+        job.connection.end()
+
+    def _send_events(self, answer, events):
+        job = self.job
+        if not job.head_sent:
+            headers = self.parts.dialect.returned_headers(answer.head.headers)
+            job.connection.send_head(
+                answer.head.status, answer.head.reason, without_framing(headers)
+            )
+            job.head_sent = True
+            self._note_first()
+        job.connection.send_body(events)
+        job.resume_after = last_event_id(events) or job.resume_after
+
+    def _note_first(self):
+        if self.job.first_s is None:
+            self.job.first_s = self.loop.time() - self.job.request.received_at
+
+    def _note_failure(self, attempt, choice, error):
+        job = self.job
+        job.failure = error.failure
+        now = self.loop.time()
+        if error.failure is Failure.NOT_STARTED:
+            self.parts.placer.turned_away(choice, job.facts, now)
+        elif not attempt.sent:
+            self.parts.trust.unreachable(choice.key, now)
+            self.parts.pool.forget(choice.server.address)
+        else:
+            if not attempt.answered:
+                job.runs += 1
+            job.verdict = Verdict.MAY_HAVE_RUN
+            if error.failure is Failure.RESET_BEFORE_ANSWER:
+                self.parts.trust.unreachable(choice.key, now)
+            else:
+                self.parts.trust.failed(choice.key, now)
+        return _Sent.AGAIN
+
+    def _stall_s(self):
+        """Return how long an answer's beginning is waited for, if bounded."""
+        job = self.job
+        repeatable = job.route.idempotent and job.runs + 1 < job.route.max_attempts
+        if not repeatable:
+            return None
+        stall_s = STALL_FACTOR * job.route.target_latency_s
+        return max(MIN_STALL_S, min(stall_s, MAX_STALL_S))
+
+    def _forwarding(self, choice: Choice) -> Forwarding:
+        job = self.job
+        customer = job.customer
+        isolated = customer is not None and customer.isolated
+        return Forwarding(
+            server=choice.server,
+            time_left_s=job.ends_at - self.loop.time(),
+            customer=customer.name if customer is not None else None,
+            cache_scope=customer.name if isolated else None,
+            urgency=urgency_of(job.route, customer) if choice.placement else None,
+            resume_after=job.resume_after,
+        )
+
+    def _none_usable(self, now):
+        """Return the refusal of a request that no server can take in time."""
+        if self.job.sends:
+            return self._failed()
+        wait_s = self.parts.placer.back_in(self.job.service, now)
+        return refuse(
+            RefusalReason.NO_BACKEND,
+            "no backend server can take the request in time",
+            self._return_after(wait_s),
+        )
+
+    def _return_after(self, wait_s):
+        return (RETURN_S + wait_s) * (1.0 + self.parts.rng.random())
+
+    def _failed(self, reason: RefusalReason | None = None) -> Refusal:
+        """Return the final answer to a request that no server served."""
+        job = self.job
+        failure = job.failure or Failure.CONNECT_FAILED
+        if job.verdict is Verdict.NOT_RUN and (job.sends == 0 or failure in _NOT_RUN):
+            reason = RefusalReason.NO_BACKEND
+            return refuse(reason, failure.text, self._return_after(0.0))
+        reason = reason or failure.reason
+        if reason.status not in (502, 504):
+            reason = RefusalReason.BACKEND_FAILED
+        return Refusal(reason, Verdict.MAY_HAVE_RUN, failure.text)
+
+    def _log_again(self, choice):
+        job = self.job
+        self.parts.log.write(
+            Event.REQUEST_RETRIED,
+            request_id=job.facts.attempt_id,
+            server=choice.server.server_id,
+            cause=job.failure.text if job.failure else "",
+            sends=job.sends,
+            resume_after=job.resume_after or "",
+        )
+
+
+_NOT_RUN = frozenset(f for f in Failure if f.verdict is Verdict.NOT_RUN)
--- /dev/null
+++ b/src/cassiaford/gateway/_front.py
@@ -0,0 +1,282 @@
+"""Receiving callers' requests: routed, authenticated, charged, answered."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from http import HTTPStatus
+
+from cassiaford.gateway._beliefs import Placer
+from cassiaford.gateway._caller_connection import CallerConnection, RequestHandler
+from cassiaford.gateway._configuration import CallerLimits, choose_service
+from cassiaford.gateway._dialect import Dialect, MalformedError
+from cassiaford.gateway._event_log import EventLog
+from cassiaford.gateway._exchange import Exchange, ExchangeParts, Job
+from cassiaford.gateway._messages import HttpRequest
+from cassiaford.gateway._server_connection import ConnectionPool
+from cassiaford.gateway._settings import ResendLimits
+from cassiaford.gateway._view import View
+from cassiaford.gateway.policy import FleetRates, SendBudget, ServerTrust
+from cassiaford.logs import Event
+from cassiaford.metrics import Counter, Label, Metrics, Quantity
+from cassiaford.verdict import Refusal, RefusalReason, Verdict, refuse
+
+# A caller that is turned away for a moment may come back after this time.
+SHORTLY_S = 0.3
+# A refused customer returns at the earliest when its tokens are there, and up
+# to this share of the wait later, so that returns spread.
+SPREAD = 0.5
+
+
+class Front(RequestHandler):
+    """Answers the requests of callers."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        view: View,
+        placer: Placer,
+        trust: ServerTrust,
+        pool: ConnectionPool,
+        rates: FleetRates,
+        resends: ResendLimits,
+        log: EventLog,
+        metrics: Metrics,
+        rng: random.Random,
+    ):
+        self.dialect = dialect
+        self.view = view
+        self.rates = rates
+        self.resends = resends
+        self.log = log
+        self.metrics = metrics
+        self.rng = rng
+        self.parts = ExchangeParts(dialect, placer, trust, pool, {}, log, rng)
+        self.instances: Callable[[], int] = lambda: 1
+        self.leaving = False
+        self.refusing = False
+        self.in_progress = 0
+        self.loop = asyncio.get_running_loop()
+
+    @property
+    def limits(self) -> CallerLimits:
+        """What a caller may send."""
+        configuration = self.view.configuration
+        return configuration.limits if configuration else CallerLimits()
+
+    @property
+    def closing(self) -> bool:
+        """Whether connections are to be closed after their answers."""
+        return self.leaving
+
+    async def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
+        """Answer one request."""
+        self.in_progress += 1
+        job = None
+        try:
+            admitted = self._admit(request, connection)
+            if isinstance(admitted, Refusal):
+                self._refuse(connection, admitted, None)
+                return
+            job = admitted
+            self._log_admitted(job)
+            refusal = await Exchange(job, self.parts, self.instances()).run()
+            if refusal is not None:
+                self._refuse(connection, refusal, job)
+            self._record(job, refusal)
+        except asyncio.CancelledError:
+            if job is not None:
+                self._caller_left(job)
+            raise
+        finally:
+            self.in_progress -= 1
+
+    def _admit(self, request, connection):
+        """Return the job of a request, or its refusal."""
+        configuration = self.view.configuration
+        if self.refusing:
+            message = "the instance is stopping"
+            return refuse(RefusalReason.STOPPING, message, 0.0)
+        if configuration is None:
+            message = "the instance has no configuration yet"
+            return refuse(RefusalReason.STARTING, message, SHORTLY_S)
+        try:
+            facts = self.dialect.read_request(request)
+        except MalformedError as error:
+            return refuse(RefusalReason.BAD_REQUEST, str(error))
+        route = self.view.routes.find(facts.host, request.path)
+        if route is None:
+            return refuse(RefusalReason.UNKNOWN_ROUTE, "no route has this prefix")
+        customer = None
+        if configuration.customers and not route.public:
+            customer = configuration.customers_by_key.get(facts.key or "")
+            if customer is None:
+                return refuse(RefusalReason.INVALID_KEY, "no customer has this key")
+        allowed_s = route.time_out_s
+        if facts.deadline_s is not None:
+            allowed_s = min(allowed_s, facts.deadline_s)
+        job = Job(
+            request=request,
+            facts=facts,
+            route=route,
+            customer=customer,
+            service=choose_service(route, self.rng),
+            connection=connection,
+            ends_at=request.received_at + allowed_s,
+        )
+        self._budget(job.service)
+        return self._charge(job) or job
+
+    def _charge(self, job):
+        """Take the request's tokens; return the refusal if there are too few."""
+        customer = job.customer
+        if customer is None:
+            return None
+        tokens = self._tokens(job)
+        now = self.loop.time()
+        if self.rates.charge(customer.name, tokens, now):
+            return None
+        wait_s = self.rates.return_after(customer.name, tokens, now)
+        return refuse(
+            RefusalReason.RATE_LIMITED,
+            f"customer {customer.name} has used up its rate:"
+            f" {self.rates.describe(customer.name)} for {tokens:g} tokens",
+            (SHORTLY_S + wait_s) * (1.0 + SPREAD * self.rng.random()),
+        )
+
+    def _tokens(self, job):
+        return job.facts.tokens or job.customer.plain_request_tokens
+
+    def _budget(self, service):
+        if service not in self.parts.budgets:
+            limits = self.resends
+            self.parts.budgets[service] = SendBudget(
+                limits.ratio, limits.slack, limits.window_s
+            )
+
+    def _refuse(self, connection, refusal, job):
+        """Send a refusal, or break off an answer that has begun."""
+        if job is not None and refusal.verdict is Verdict.NOT_RUN and job.customer:
+            now = self.loop.time()
+            self.rates.refund(job.customer.name, self._tokens(job), now)
+        if connection.head_sent:
+            connection.abort()
+        else:
+            headers = []
+            if refusal.retry_after_s is not None:
+                headers.append(("Retry-After", f"{refusal.retry_after_s:.3f}"))
+            connection.send(refusal.reason.status, headers)
+        self.metrics.count(Counter.REFUSALS, Label("reason", refusal.reason.code))
+        if job is None:
+            self._log_refused(refusal)
+
+    def _log_refused(self, refusal):
+        self.log.write(
+            Event.REQUEST_REFUSED,
+            reason=refusal.reason.code,
+            verdict=refusal.verdict.value,
+            cause=refusal.message,
+            retry_after_s=refusal.retry_after_s,
+        )
+
+    def _log_admitted(self, job):
+        self.metrics.count(Counter.REQUESTS, Label("route", job.route.name))
+
+    def _record(self, job, refusal):
+        """Log what became of a request and what decided it."""
+        took_s = self.loop.time() - job.request.received_at
+        late = job.first_s is None or job.first_s > job.route.target_latency_s
+        fields = self._fields(job, took_s)
+        if refusal is not None:
+            fields["reason"] = refusal.reason.code
+            fields["cause"] = refusal.message
+            fields["retry_after_s"] = refusal.retry_after_s
+            fields["verdict"] = refusal.verdict.value
+            not_run = refusal.verdict is Verdict.NOT_RUN
+            event = Event.REQUEST_REFUSED if not_run else Event.REQUEST_FAILED
+            self.log.write(event, **fields)
+            return
+        self.metrics.observe(Quantity.TIME_TO_FIRST_TOKEN, job.first_s or took_s)
+        if late:
+            self.log.write(Event.REQUEST_COMPLETED, late=True, **fields)
+        else:
+            self.log.write_sampled(Event.REQUEST_COMPLETED, **fields)
+
+    def _caller_left(self, job):
+        took_s = self.loop.time() - job.request.received_at
+        self.log.write(Event.CALLER_LEFT, **self._fields(job, took_s))
+
+    def _fields(self, job, took_s):
+        return {
+            "request_id": job.facts.attempt_id,
+            "route": job.route.name,
+            "customer": job.customer.name if job.customer else "",
+            "server": job.server,
+            "sends": job.sends,
+            "expected_s": round(job.expected_s, 3),
+            "first_s": round(job.first_s, 3) if job.first_s is not None else None,
+            "took_s": round(took_s, 3),
+            "verdict": job.verdict.value,
+        }
+
+
+class ProbeHandler(RequestHandler):
+    """Answers whether the instance is ready."""
+
+    def __init__(self, requested: Callable[[str], bool], ready: Callable[[], bool]):
+        self.requested = requested
+        self.ready = ready
+
+    @property
+    def limits(self) -> CallerLimits:
+        """What a caller may send."""
+        return CallerLimits()
+
+    @property
+    def closing(self) -> bool:
+        """Whether connections are to be closed after their answers."""
+        return False
+
+    async def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
+        """Answer one probe."""
+        if not self.requested(request.target):
+            connection.send(HTTPStatus.NOT_FOUND, [])
+        elif self.ready():
+            connection.send(HTTPStatus.OK, [])
+        else:
+            connection.send(HTTPStatus.SERVICE_UNAVAILABLE, [])
+
+
+class BodyHandler(RequestHandler):
+    """Answers every proper request with a body made at that moment."""
+
+    def __init__(
+        self,
+        requested: Callable[[str], bool],
+        body: Callable[[str], bytes | None],
+        content_type: str,
+    ):
+        self.requested = requested
+        self.body = body
+        self.content_type = content_type
+
+    @property
+    def limits(self) -> CallerLimits:
+        """What a caller may send."""
+        return CallerLimits()
+
+    @property
+    def closing(self) -> bool:
+        """Whether connections are to be closed after their answers."""
+        return False
+
+    async def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
+        """Answer one request; 503 where there is nothing to tell."""
+        if not self.requested(request.target):
+            connection.send(HTTPStatus.NOT_FOUND, [])
+            return
+        body = self.body(request.target)
+        if body is None:
+            connection.send(HTTPStatus.SERVICE_UNAVAILABLE, [])
+        else:
+            headers = [("Content-Type", self.content_type)]
+            connection.send(HTTPStatus.OK, headers, body)
--- /dev/null
+++ b/src/cassiaford/gateway/_gateway.py
@@ -0,0 +1,399 @@
+"""One gateway: its parts wired together, its start and its planned stop."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+import traceback
+
+from cassiaford.gateway._beliefs import Placer
+from cassiaford.gateway._caller_connection import CallerConnection, listen
+from cassiaford.gateway._dialect import Dialect, Directory, ReadinessProbe, Records
+from cassiaford.gateway._engine_control import EngineControl
+from cassiaford.gateway._event_log import EventLog
+from cassiaford.gateway._front import BodyHandler, Front, ProbeHandler
+from cassiaford.gateway._http_caller import CallFailedError, HttpCaller
+from cassiaford.gateway._mirror import Mirror, MirrorSync, Section
+from cassiaford.gateway._orders import Orderer
+from cassiaford.gateway._peer_codec import (
+    PeerMessageError,
+    decode_snapshot,
+    encode_snapshot,
+)
+from cassiaford.gateway._peers import PeerReports
+from cassiaford.gateway._registration import Registration, decode_entry
+from cassiaford.gateway._server_connection import ConnectionPool
+from cassiaford.gateway._settings import GatewaySettings
+from cassiaford.gateway._store import Change, SharedStore
+from cassiaford.gateway._view import View
+from cassiaford.gateway.policy import (
+    EngineBook,
+    FleetRates,
+    PeerState,
+    PeerTable,
+    RollOut,
+    ServerTrust,
+    ServiceBook,
+)
+from cassiaford.logs import Event
+from cassiaford.metrics import Metrics
+
+# Keys of the gateways in the shared store.
+OWN_PREFIX = "cassiaford/"
+INSTANCES_PREFIX = OWN_PREFIX + "instances/"
+ORDERER_KEY = OWN_PREFIX + "orderer"
+# How often what lapses is looked at.
+HOUSEKEEPING_S = 0.2
+# A machine whose clock that counts suspensions is ahead by this was suspended.
+SUSPENDED_S = 0.3
+# A peer's copy of the store is asked for at most this often.
+COPY_EVERY_S = 0.4
+COPY_TIME_OUT_S = 0.8
+COPY_TARGET = "/mirror"
+# Of a planned stop: callers learn of it, then new requests are refused, then
+# the process ends once nothing is in progress.
+REFUSE_AFTER_SHARE = 0.3
+END_SHARE = 0.84
+# No request may begin on replaced weights in the last part of the time in
+# which new ones are to be in place; it may wait that long in a queue.
+WEIGHTS_MARGIN_S = 1.0
+
+
+class GatewayWorld:
+    """What a gateway is given: translations and connections."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        records: Records,
+        directory: Directory,
+        probe: ReadinessProbe,
+        store: SharedStore,
+        control: EngineControl,
+        pool: ConnectionPool,
+    ):
+        self.dialect = dialect
+        self.records = records
+        self.directory = directory
+        self.probe = probe
+        self.store = store
+        self.control = control
+        self.pool = pool
+
+
+class Gateway:
+    """Serves callers until it is told to stop."""
+
+    def __init__(self, settings: GatewaySettings, world: GatewayWorld):
+        self.settings = settings
+        self.world = world
+        self.loop = asyncio.get_running_loop()
+        incarnation = time.time_ns() // 1_000_000
+        self.rng = random.Random(f"{settings.instance}-{incarnation}")
+        self.log = EventLog(settings.instance, incarnation)
+        self.metrics = Metrics()
+        self.state = PeerState(
+            name=settings.instance,
+            incarnation=incarnation,
+            data_centre=settings.data_centre,
+            front_address=settings.addresses.front,
+            peer_address=settings.addresses.peer,
+            ready=False,
+        )
+        self.connections: set[CallerConnection] = set()
+        self.servers: list[asyncio.Server] = []
+        self.stopping = asyncio.Event()
+        self._create_decisions()
+        self._create_store_parts()
+        self._create_peers()
+        self._create_front()
+        self._copied_at = -COPY_EVERY_S
+        self._copying: asyncio.Task | None = None
+        self._tasks: list[asyncio.Task] = []
+
+    def _create_decisions(self):
+        self.engines = EngineBook()
+        self.services = ServiceBook()
+        self.trust = ServerTrust()
+        self.rates = FleetRates()
+        self.table = PeerTable()
+        self.view = View(self.world.records, self.rates, self.log)
+        self.view.on_weights = self.engines.emptied
+        self.view.on_peer = self._own_key_changed
+        self.view.on_servers = self._servers_changed
+
+    def _create_store_parts(self):
+        records = self.world.records
+        sections = (
+            Section(records.operators_prefix),
+            Section(records.servers_prefix),
+            Section(OWN_PREFIX),
+        )
+        self.mirror = Mirror(sections, self.view)
+        self.sync = MirrorSync(self.mirror, self.world.store, self.rng, self.log)
+        self.registration = Registration(
+            INSTANCES_PREFIX + self.state.name,
+            self.state,
+            self.world.store,
+            self.rng,
+            self.log,
+        )
+        self.orderer = Orderer(
+            instance=self.state.name,
+            key=ORDERER_KEY,
+            view=self.view,
+            store=self.world.store,
+            control=self.world.control,
+            roll_out=RollOut(self.view.named, self.settings.weights_within_s),
+            rng=self.rng,
+            log=self.log,
+        )
+        self.orderer.tokens = self.engines.tokens
+
+    def _create_peers(self):
+        self.peers = PeerReports(
+            self.state,
+            self.table,
+            self.engines,
+            self.services,
+            self.rates,
+            self.log,
+        )
+        self.peers.revision = lambda: self.mirror.revision
+        self.peers.on_newer = self._peer_is_newer
+
+    def _create_front(self):
+        settings = self.settings
+        self.placer = Placer(
+            view=self.view,
+            engines=self.engines,
+            services=self.services,
+            trust=self.trust,
+            data_centre=settings.data_centre,
+            weights_due_s=settings.weights_within_s - WEIGHTS_MARGIN_S,
+            rng=self.rng,
+        )
+        self.placer.store_steady = self._store_steady_since
+        self.front = Front(
+            dialect=self.world.dialect,
+            view=self.view,
+            placer=self.placer,
+            trust=self.trust,
+            pool=self.world.pool,
+            rates=self.rates,
+            resends=settings.resends,
+            log=self.log,
+            metrics=self.metrics,
+            rng=self.rng,
+        )
+        self.front.instances = lambda: len(self.table.expected()) + 1
+
+    # Start and stop.
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then stop gracefully."""
+        self.loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        self.log.write(Event.INSTANCE_STARTED, incarnation=self.state.incarnation)
+        await self._listen()
+        parts = (
+            self.sync.run,
+            self.registration.run,
+            self.orderer.run,
+            self.peers.run,
+            self._keep_house,
+        )
+        self._tasks = [self.loop.create_task(self._keep_going(p)) for p in parts]
+        await self.stopping.wait()
+        await self._drain()
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers can be served."""
+        if self.stopping.is_set() or self.view.configuration is None:
+            return False
+        return bool(self.view.servers)
+
+    async def _keep_going(self, part):
+        """Run a part; one that fails is logged and started again."""
+        while True:
+            try:
+                await part()
+            except Exception as error:
+                cause = "".join(traceback.format_exception(error))
+                self.log.write(Event.THREAD_FAILED, cause=cause[-2000:])
+            await asyncio.sleep(HOUSEKEEPING_S)
+
+    async def _listen(self):
+        addresses = self.settings.addresses
+        world = self.world
+        probe = ProbeHandler(world.probe.requested, lambda: self.ready)
+        directory = BodyHandler(
+            world.directory.requested, self._directory_body, "application/json"
+        )
+        copies = BodyHandler(
+            lambda target: target == COPY_TARGET,
+            self._copy_body,
+            "application/octet-stream",
+        )
+        other: set[CallerConnection] = set()
+        self.servers = [
+            await listen(addresses.front, self.front, self.connections),
+            await listen(addresses.readiness, probe, other),
+            await listen(addresses.directory, directory, other),
+            await listen(addresses.peer, copies, other),
+        ]
+        host, _, port = addresses.peer.rpartition(":")
+        await self.loop.create_datagram_endpoint(
+            lambda: self.peers, local_addr=(host, int(port))
+        )
+
+    async def _drain(self):
+        """Leave the directory, finish what was accepted, and end."""
+        started = self.loop.time()
+        drain_s = self.settings.drain_s
+        self.log.write(Event.DRAIN_STARTED, in_progress=self.front.in_progress)
+        self.front.leaving = True
+        self._tell_readiness()
+        await self._leave_store()
+        refuse_at = started + REFUSE_AFTER_SHARE * drain_s
+        await asyncio.sleep(max(0.0, refuse_at - self.loop.time()))
+        self.front.refusing = True
+        self.servers[0].close()
+        for connection in tuple(self.connections):
+            connection.close_if_idle()
+        end_at = started + END_SHARE * drain_s
+        while self.front.in_progress and self.loop.time() < end_at:
+            await asyncio.sleep(0.05)
+        cut = self.front.in_progress
+        event = Event.DRAIN_CUT_SHORT if cut else Event.DRAIN_FINISHED
+        self.log.write(event, cut=cut)
+
+    async def _leave_store(self):
+        with contextlib.suppress(TimeoutError):
+            # Leases run out by themselves; the drain does not wait for a store
+            # that does not answer.
+            async with asyncio.timeout(0.5):
+                await self.orderer.give_up()
+                await self.registration.withdraw()
+
+    # What goes on beside requests.
+
+    async def _keep_house(self):
+        suspended = self._suspension()
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            away = self._suspension() - suspended
+            suspended += away
+            if away > SUSPENDED_S:
+                self.log.write(Event.INSTANCE_SUSPENDED, away_s=round(away, 3))
+            self._expire()
+
+    def _expire(self):
+        now = self.loop.time()
+        self.view.expire()
+        self.world.pool.sweep()
+        for name in self.table.expire(now):
+            self._forget_peer(name)
+        self._tell_readiness()
+        self.rates.set_members(self.table.expected(), now)
+        self.peers.set_customers(
+            self.view.configuration.customers if self.view.configuration else ()
+        )
+        self.peers.held = self.orderer.held
+        self.placer.held = self.peers.all_held()
+
+    def _forget_peer(self, name):
+        self.log.write(Event.MEMBER_LOST, peer=name)
+        self.engines.forget_peer(name)
+        self.services.forget_peer(name)
+
+    def _tell_readiness(self):
+        if self.state.ready != self.ready:
+            self.state = self.peers.state = _with_ready(self.state, self.ready)
+            if self.ready:
+                self.log.write(Event.INSTANCE_READY)
+            self.peers.tell()
+
+    @staticmethod
+    def _suspension():
+        return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+
+    def _servers_changed(self):
+        keys = {key for servers in self.view.servers.values() for key in servers}
+        self.engines.keep(keys)
+        self.trust.keep(keys)
+
+    def _own_key_changed(self, change: Change):
+        now = self.loop.time()
+        if change.key == ORDERER_KEY:
+            self.orderer.key_changed(change.item is not None)
+            return
+        name = change.key.removeprefix(INSTANCES_PREFIX)
+        if name == self.state.name:
+            if change.item is None and not self.stopping.is_set():
+                self.registration.present = False
+        elif change.item is None:
+            self.table.unregister(name)
+        else:
+            try:
+                self.table.register(decode_entry(change.item.value), now)
+            except ValueError as error:
+                self.log.write(
+                    Event.REVISION_REJECTED, key=change.key, cause=str(error)
+                )
+
+    def _store_steady_since(self, moment: float) -> bool:
+        if not self.sync.reachable:
+            return False
+        return self.sync.lost_at is None or self.sync.lost_at < moment
+
+    # Copies of the store, for peers that it does not answer.
+
+    def _peer_is_newer(self, peer: PeerState, revision: int):
+        if self.sync.reachable:
+            return
+        now = self.loop.time()
+        if now - self._copied_at >= COPY_EVERY_S:
+            self._copied_at = now
+            self._copying = self.loop.create_task(self._copy_from(peer))
+
+    async def _copy_from(self, peer):
+        caller = HttpCaller(self.world.pool)
+        try:
+            reply = await caller.call(
+                "GET", peer.peer_address, COPY_TARGET, COPY_TIME_OUT_S
+            )
+            if reply.status == 200 and self.mirror.adopt(decode_snapshot(reply.body)):
+                self.log.write(Event.COPY_TAKEN, peer=peer.name)
+        except (CallFailedError, PeerMessageError) as error:
+            self.log.write(Event.PEER_MESSAGE_DROPPED, peer=peer.name, cause=str(error))
+
+    def _copy_body(self, target):
+        return encode_snapshot(self.mirror.copies()) if self.mirror.complete else None
+
+    # The directory.
+
+    def _directory_body(self, target):
+        addresses = [
+            peer.front_address
+            for peer in self.table.live(self.loop.time())
+            if peer.ready
+        ]
+        if self.ready:
+            addresses.append(self.state.front_address)
+        self.rng.shuffle(addresses)
+        if not addresses:
+            return None
+        return self.world.directory.answer(addresses, self.settings.directory_ttl_s)
+
+
+def _with_ready(state, ready):
+    return PeerState(
+        name=state.name,
+        incarnation=state.incarnation,
+        data_centre=state.data_centre,
+        front_address=state.front_address,
+        peer_address=state.peer_address,
+        ready=ready,
+    )
--- /dev/null
+++ b/src/cassiaford/gateway/_http_caller.py
@@ -0,0 +1,69 @@
+"""Short calls from the gateway to the store, to engines and to peers."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from cassiaford.gateway._messages import Headers
+from cassiaford.gateway._server_connection import (
+    ConnectionPool,
+    ExchangeError,
+    request_bytes,
+)
+
+
+@dataclass(frozen=True)
+class Reply:
+    """The whole answer to a call."""
+
+    status: int
+    body: bytes = field(repr=False)
+
+
+class CallFailedError(Exception):
+    """A call got no answer; `sent` is whether any of it left."""
+
+    def __init__(self, detail: str, sent: bool):
+        super().__init__(detail)
+        self.sent = sent
+
+
+class HttpCaller:
+    """Makes calls over kept connections."""
+
+    def __init__(self, pool: ConnectionPool):
+        self.pool = pool
+
+    async def call(
+        self,
+        method: str,
+        address: str,
+        target: str,
+        time_out_s: float,
+        headers: Headers = (),
+        body: bytes = b"",
+    ) -> Reply:
+        """Return the answer to a call; raise `CallFailedError`."""
+        connection = None
+        try:
+            async with asyncio.timeout(time_out_s):
+                connection = await self.pool.connection(address)
+                lines = [("Host", address), *headers]
+                connection.start(request_bytes(method, target, lines, body))
+                head = await connection.head()
+                answer = Reply(head.status, await connection.body())
+        except ExchangeError as error:
+            self._drop(connection)
+            raise CallFailedError(str(error), connection is not None) from error
+        except TimeoutError as error:
+            self._drop(connection)
+            detail = f"no answer within {time_out_s:g} s"
+            raise CallFailedError(detail, connection is not None) from error
+        except BaseException:
+            self._drop(connection)
+            raise
+        self.pool.give_back(address, connection)
+        return answer
+
+    def _drop(self, connection):
+        if connection is not None:
+            connection.close()
--- /dev/null
+++ b/src/cassiaford/gateway/_orders.py
@@ -0,0 +1,259 @@
+"""Orders for new weights, given by one instance that holds a lease for it.
+
+The key of the orderer lies in the store under a lease; the revision at which
+it was written is the fencing token. The holder stops before its lease can
+have run out, by a clock that also counts while the machine is suspended.
+"""
+
+import asyncio
+import random
+import time
+
+from cassiaford.gateway._engine_control import (
+    EngineCallError,
+    EngineControl,
+    OrderAnswer,
+    VersionOrder,
+)
+from cassiaford.gateway._event_log import EventLog
+from cassiaford.gateway._store import (
+    Committed,
+    Condition,
+    LeaseEndedError,
+    SharedStore,
+    StoreError,
+    Write,
+)
+from cassiaford.gateway._view import View
+from cassiaford.gateway.policy import GiveOrder, RollOut, RollOutServer
+from cassiaford.logs import Event
+
+# The lease outlives three lost renewals; a new holder follows a lost one
+# well within the shortest time for a version.
+LEASE_S = 2.0
+RENEW_S = 0.5
+# The holder stops this long before its lease may have run out.
+LEASE_MARGIN_S = 0.5
+# How often the holder looks at engines that load.
+STEP_S = 0.1
+# An instance that finds the key free waits up to this long, so that not all
+# write at once.
+STAND_SPREAD_S = 0.25
+
+
+def _suspended_time():
+    """Return a steady time that goes on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Orderer:
+    """Stands for the orderer's lease, and orders engines while it holds it."""
+
+    def __init__(
+        self,
+        instance: str,
+        key: str,
+        view: View,
+        store: SharedStore,
+        control: EngineControl,
+        roll_out: RollOut,
+        rng: random.Random,
+        log: EventLog,
+    ):
+        self.instance = instance
+        self.key = key
+        self.view = view
+        self.store = store
+        self.control = control
+        self.roll_out = roll_out
+        self.rng = rng
+        self.log = log
+        self.fencing = 0
+        self.lease = 0
+        self.valid_until = 0.0
+        self.taken = False
+        self.stopping = False
+        self.tokens = lambda key: 0
+        self._orders: dict[int, asyncio.Task] = {}
+        self._now = asyncio.get_running_loop().time
+
+    @property
+    def holds(self) -> bool:
+        """Whether this instance may give orders now."""
+        return self.fencing > 0 and _suspended_time() < self.valid_until
+
+    @property
+    def held(self) -> frozenset[int]:
+        """The engines that this instance has taken out of use."""
+        return frozenset(self.roll_out.held) if self.holds else frozenset()
+
+    def key_changed(self, present: bool) -> None:
+        """Take in whether the orderer's key is there."""
+        self.taken = present
+
+    async def run(self) -> None:
+        """Stand, hold and order until cancelled."""
+        while True:
+            if self.fencing:
+                await self._hold()
+            elif not self.taken and not self.stopping and self._work_to_do():
+                await self._stand()
+            await asyncio.sleep(STEP_S)
+
+    async def give_up(self) -> None:
+        """Let another instance take over at once."""
+        self.stopping = True
+        fencing, self.fencing = self.fencing, 0
+        if not fencing:
+            return
+        try:
+            await self.store.remove(self.key, fencing)
+        except StoreError as error:
+            # The lease runs out by itself.
+            self.log.write(Event.ORDERS_SUSPENDED, cause=str(error))
+
+    def _servers(self):
+        return [
+            RollOutServer(key, model, version, self.tokens(key))
+            for model in self.view.named.models
+            for key, server in self.view.engines_of(model).items()
+            for version in (server.versions[model],)
+        ]
+
+    def _work_to_do(self):
+        return bool(self.roll_out.behind(self._servers()))
+
+    async def _stand(self):
+        await asyncio.sleep(self.rng.random() * STAND_SPREAD_S)
+        if self.taken:
+            return
+        asked_at = _suspended_time()
+        try:
+            lease = await self.store.grant_lease(LEASE_S)
+            result = await self.store.transact(
+                (Condition(self.key, 0),),
+                (Write(self.key, self.instance.encode(), lease),),
+            )
+        except StoreError as error:
+            self.log.write(Event.ORDERS_SUSPENDED, cause=str(error))
+            await asyncio.sleep(RENEW_S)
+            return
+        if not isinstance(result, Committed):
+            self.taken = True
+            return
+        self.taken = True
+        self.lease = lease
+        self.fencing = result.revision
+        self.valid_until = asked_at + LEASE_S - LEASE_MARGIN_S
+        self.roll_out.turns.clear()
+        self.log.write(Event.ORDERS_RESUMED, fencing=self.fencing)
+
+    async def _hold(self):
+        """Order while the lease lasts; renewals go on beside the orders."""
+        renewals = asyncio.create_task(self._renew())
+        try:
+            while self.fencing and _suspended_time() < self.valid_until:
+                self._give_due_orders()
+                await asyncio.sleep(STEP_S)
+        finally:
+            renewals.cancel()
+            for task in self._orders.values():
+                task.cancel()
+            self._orders.clear()
+        if self.fencing:
+            self.log.write(Event.ORDERS_SUSPENDED, cause="lease not renewed")
+        self.fencing = 0
+        self.roll_out.turns.clear()
+
+    async def _renew(self):
+        while self.fencing:
+            await asyncio.sleep(RENEW_S)
+            asked_at = _suspended_time()
+            try:
+                await self.store.renew_lease(self.lease)
+            except LeaseEndedError:
+                self.valid_until = 0.0
+                return
+            except StoreError as error:
+                self.log.write(Event.KEY_VALUE_LOST, section="lease", cause=str(error))
+                continue
+            self.valid_until = asked_at + LEASE_S - LEASE_MARGIN_S
+
+    def _give_due_orders(self):
+        for order in self.roll_out.plan(self._servers(), self._now()):
+            known = self._orders.get(order.key)
+            if known is None or known.done():
+                task = asyncio.create_task(self._order(order))
+                self._orders[order.key] = task
+
+    async def _order(self, order: GiveOrder):
+        server = self.view.engines_of(order.model).get(order.key)
+        if server is None:
+            return
+        try:
+            report = await self.control.report(server)
+            if self._holds_version(order, server, report):
+                return
+            if report.busy:
+                self.roll_out.order_lost(order.key)
+                return
+            # Nothing is awaited between this check and the send.
+            if not self.holds:
+                return
+            answer = await self.control.order(
+                server,
+                VersionOrder(
+                    order.model,
+                    order.version,
+                    self.instance,
+                    self.fencing,
+                    report.orders_accepted,
+                ),
+            )
+            self._answered(order, server, answer)
+            await self._await_version(order, server)
+        except EngineCallError as error:
+            self.log.write(
+                Event.ORDER_NOT_ACCEPTED, server=server.server_id, cause=str(error)
+            )
+            self.roll_out.order_lost(order.key)
+
+    def _answered(self, order, server, answer):
+        if answer in (OrderAnswer.ACCEPTED, OrderAnswer.ALREADY_HOLDS):
+            event = Event.LOAD_ORDERED
+        else:
+            event = Event.ORDER_NOT_ACCEPTED
+            self.roll_out.order_lost(order.key)
+        if answer is OrderAnswer.FENCED_OFF:
+            self.valid_until = 0.0
+        self.log.write(
+            event,
+            server=server.server_id,
+            model=order.model,
+            version=order.version,
+            fencing=self.fencing,
+            answer=answer.value,
+        )
+
+    async def _await_version(self, order, server):
+        """Ask the engine until it has the version; its entry follows later."""
+        while True:
+            await asyncio.sleep(2 * STEP_S)
+            report = await self.control.report(server)
+            if self._holds_version(order, server, report):
+                return
+            if not report.busy:
+                self.roll_out.order_lost(order.key)
+                return
+
+    def _holds_version(self, order, server, report):
+        if report.versions.get(order.model, 0) < order.version:
+            return False
+        self.view.engine_reported(server, report.versions)
+        self.log.write(
+            Event.LOAD_FINISHED,
+            server=server.server_id,
+            model=order.model,
+            version=order.version,
+        )
+        return True
--- /dev/null
+++ b/src/cassiaford/gateway/_peer_codec.py
@@ -0,0 +1,130 @@
+"""The encoding of what instances tell each other."""
+
+import importlib.resources
+from dataclasses import dataclass, field
+
+import capnp
+
+from cassiaford.gateway._store import Item, Page
+from cassiaford.gateway.policy import PeerState, PlacedWork
+
+_SCHEMA_FILE = importlib.resources.files("cassiaford.gateway") / "peers.capnp"
+with importlib.resources.as_file(_SCHEMA_FILE) as _path:
+    _schema = capnp.load(str(_path))
+
+
+class PeerMessageError(ValueError):
+    """A message that is not one of an instance."""
+
+
+@dataclass(frozen=True)
+class Report:
+    """What an instance tells its peers several times a second.
+
+    `work` and `held` name backend servers by digest, `spending` customers, and
+    `placements` units of placement and engines; `whole` is false if only
+    changes are named.
+    """
+
+    sender: PeerState
+    sequence: int
+    whole: bool
+    revision: int = 0
+    work: dict[int, PlacedWork] = field(default_factory=dict)
+    spending: dict[int, int] = field(default_factory=dict)
+    held: frozenset[int] = frozenset()
+    placements: tuple[tuple[int, int], ...] = ()
+
+
+def encode_report(report: Report) -> bytes:
+    """Return the datagram of a report."""
+    sender = report.sender
+    message = _schema.Report.new_message(
+        name=sender.name,
+        incarnation=sender.incarnation,
+        dataCentre=sender.data_centre,
+        frontAddress=sender.front_address,
+        peerAddress=sender.peer_address,
+        ready=sender.ready,
+        whole=report.whole,
+        revision=report.revision,
+        sequence=report.sequence,
+        held=sorted(report.held),
+        placements=[
+            {"unit": unit, "server": server} for unit, server in report.placements
+        ],
+    )
+    work = message.init("work", len(report.work))
+    for entry, (server, placed) in zip(work, report.work.items(), strict=True):
+        entry.server = server
+        entry.prefillMs = round(placed.prefill_s * 1000)
+        entry.running = min(placed.running, 0xFFFF)
+        entry.tokens = placed.tokens
+    spending = message.init("spending", len(report.spending))
+    for entry, (customer, tokens) in zip(
+        spending, report.spending.items(), strict=True
+    ):
+        entry.customer = customer
+        entry.tokens = tokens
+    return message.to_bytes_packed()
+
+
+def decode_report(data: bytes) -> Report:
+    """Return a report; raise `PeerMessageError`."""
+    try:
+        message = _schema.Report.from_bytes_packed(data)
+        return Report(
+            sender=PeerState(
+                message.name,
+                message.incarnation,
+                message.dataCentre,
+                message.frontAddress,
+                message.peerAddress,
+                message.ready,
+            ),
+            sequence=message.sequence,
+            whole=message.whole,
+            revision=message.revision,
+            work={
+                w.server: PlacedWork(w.prefillMs / 1000, w.running, w.tokens)
+                for w in message.work
+            },
+            spending={s.customer: s.tokens for s in message.spending},
+            held=frozenset(message.held),
+            placements=tuple((p.unit, p.server) for p in message.placements),
+        )
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        raise PeerMessageError(str(error)) from error
+
+
+def encode_snapshot(sections: dict[str, Page]) -> bytes:
+    """Return the message of a copy of the store."""
+    message = _schema.Snapshot.new_message(
+        sections=[
+            {
+                "prefix": prefix,
+                "revision": page.revision,
+                "items": [
+                    {"key": i.key, "value": i.value, "revision": i.revision}
+                    for i in page.items
+                ],
+            }
+            for prefix, page in sections.items()
+        ]
+    )
+    return message.to_bytes_packed()
+
+
+def decode_snapshot(data: bytes) -> dict[str, Page]:
+    """Return a copy of the store, by prefix; raise `PeerMessageError`."""
+    try:
+        message = _schema.Snapshot.from_bytes_packed(data)
+        return {
+            section.prefix: Page(
+                tuple(Item(i.key, bytes(i.value), i.revision) for i in section.items),
+                section.revision,
+            )
+            for section in message.sections
+        }
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        raise PeerMessageError(str(error)) from error
--- /dev/null
+++ b/src/cassiaford/gateway/_peers.py
@@ -0,0 +1,172 @@
+"""Reports between instances: one small datagram, several times a second."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from cassiaford.gateway._event_log import EventLog
+from cassiaford.gateway._peer_codec import (
+    PeerMessageError,
+    Report,
+    decode_report,
+    encode_report,
+)
+from cassiaford.gateway._view import digest
+from cassiaford.gateway.policy import (
+    EngineBook,
+    FleetRates,
+    PeerState,
+    PeerTable,
+    PlacedWork,
+    ServiceBook,
+)
+from cassiaford.logs import Event
+
+# How often work and spending are told. A prompt is read in tens of
+# milliseconds, so older word would come after the fact.
+REPORT_S = 0.1
+# Everything is told again this often, for peers that missed a report.
+WHOLE_EVERY = 10
+# Reports that say nothing new are left out, up to this many.
+MOST_LEFT_OUT = 3
+
+
+class PeerReports(asyncio.DatagramProtocol):
+    """Tells peers what this instance does, and learns what they do."""
+
+    def __init__(
+        self,
+        state: PeerState,
+        table: PeerTable,
+        engines: EngineBook,
+        services: ServiceBook,
+        rates: FleetRates,
+        log: EventLog,
+    ):
+        self.state = state
+        self.table = table
+        self.engines = engines
+        self.services = services
+        self.rates = rates
+        self.log = log
+        self.held: frozenset[int] = frozenset()
+        self.revision = lambda: 0
+        self.on_newer: Callable[[PeerState, int], None] = lambda peer, revision: None
+        self.peers_held: dict[str, frozenset[int]] = {}
+        self.customers: dict[int, str] = {}
+        self.transport: asyncio.DatagramTransport | None = None
+        self._sequence = itertools.count(1)
+        self._newest: dict[str, tuple[int, int]] = {}
+        self._told = {}
+        self._left_out = 0
+        self._rounds = itertools.count()
+        self._now = asyncio.get_running_loop().time
+
+    def connection_made(self, transport):
+        """Take the socket in."""
+        self.transport = transport
+
+    def error_received(self, exc):
+        """Pass over a peer's closed port; its silence is noticed."""
+
+    def datagram_received(self, data, addr):
+        """Take in a report."""
+        try:
+            report = decode_report(data)
+        except PeerMessageError as error:
+            self.log.write(Event.PEER_MESSAGE_DROPPED, peer=addr[0], cause=str(error))
+            return
+        if report.sender.name != self.state.name and self._is_new(report):
+            self._take_in(report)
+
+    def set_customers(self, names) -> None:
+        """Take in the customers' names, which reports hold by digest."""
+        self.customers = {digest(name): name for name in names}
+
+    def all_held(self) -> frozenset[int]:
+        """Return the engines that any live instance has taken out of use."""
+        live = {peer.name for peer in self.table.live(self._now())}
+        held = [h for name, h in self.peers_held.items() if name in live]
+        return self.held.union(*held)
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            self.tell()
+            await asyncio.sleep(REPORT_S)
+
+    def tell(self) -> None:
+        """Send one report, of what has changed or of everything."""
+        whole = next(self._rounds) % WHOLE_EVERY == 0
+        work = self._work()
+        spending = {digest(n): round(t) for n, t in self.rates.spent().items()}
+        placements = tuple(self.engines.homes.take_to_tell())
+        now_told = {"work": work, "spending": spending, "held": self.held}
+        same = now_told == self._told and not placements
+        if not whole and same and self._left_out < MOST_LEFT_OUT:
+            self._left_out += 1
+            return
+        self._left_out = 0
+        if not whole:
+            work = _changed(work, self._told.get("work", {}))
+            spending = _changed(spending, self._told.get("spending", {}))
+        self._told = now_told
+        report = Report(
+            sender=self.state,
+            sequence=next(self._sequence),
+            whole=whole,
+            revision=self.revision(),
+            work=work,
+            spending=spending,
+            held=self.held,
+            placements=placements,
+        )
+        data = encode_report(report)
+        for peer in self.table.all():
+            host, _, port = peer.peer_address.rpartition(":")
+            self.transport.sendto(data, (host, int(port)))
+
+    def _work(self):
+        work = self.engines.own_work()
+        for key, running in self.services.own.items():
+            work[key] = _plain_work(running)
+        told = self._told.get("work", {})
+        for key, placed in told.items():
+            if key not in work and placed.running:
+                work[key] = _plain_work(0)
+        return work
+
+    def _is_new(self, report):
+        newest = self._newest.get(report.sender.name, (0, 0))
+        number = (report.sender.incarnation, report.sequence)
+        if number <= newest:
+            return False
+        self._newest[report.sender.name] = number
+        return True
+
+    def _take_in(self, report):
+        now = self._now()
+        name = report.sender.name
+        self.table.hear(report.sender, now)
+        self.engines.hear(name, report.work, report.whole, now)
+        self.engines.homes.hear(report.placements, now)
+        running = {} if report.whole else dict(self.services.peers.get(name, {}))
+        running.update({key: w.running for key, w in report.work.items()})
+        self.services.hear(name, running)
+        spent = {
+            self.customers[key]: tokens
+            for key, tokens in report.spending.items()
+            if key in self.customers
+        }
+        self.rates.hear(name, report.sender.incarnation, spent, now)
+        self.peers_held[name] = report.held
+        if report.revision > self.revision():
+            self.on_newer(report.sender, report.revision)
+
+
+def _plain_work(running):
+    return PlacedWork(0.0, running, 0)
+
+
+def _changed(now, before):
+    return {key: value for key, value in now.items() if before.get(key) != value}
--- /dev/null
+++ b/src/cassiaford/gateway/_registration.py
@@ -0,0 +1,101 @@
+"""An instance's own entry in the store, under a lease."""
+
+import asyncio
+import json
+import random
+
+from cassiaford.gateway._event_log import EventLog
+from cassiaford.gateway._store import (
+    LeaseEndedError,
+    SharedStore,
+    StoreError,
+    Write,
+)
+from cassiaford.gateway.policy import PeerState
+from cassiaford.logs import Event
+
+# Peers that are gone are forgotten after this time; reports between instances
+# notice it sooner. A renewal each third of it outlives two lost ones.
+LEASE_S = 6.0
+RENEW_S = 2.0
+
+
+def encode_entry(state: PeerState) -> bytes:
+    """Return the value of an instance's entry."""
+    document = {
+        "name": state.name,
+        "incarnation": state.incarnation,
+        "data_centre": state.data_centre,
+        "front_address": state.front_address,
+        "peer_address": state.peer_address,
+    }
+    return json.dumps(document).encode()
+
+
+def decode_entry(value: bytes) -> PeerState:
+    """Return the instance of an entry; raise `ValueError`."""
+    try:
+        document = json.loads(value)
+        return PeerState(
+            name=str(document["name"]),
+            incarnation=int(document["incarnation"]),
+            data_centre=str(document["data_centre"]),
+            front_address=str(document["front_address"]),
+            peer_address=str(document["peer_address"]),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise ValueError(f"not the entry of an instance: {error!r}") from error
+
+
+class Registration:
+    """Keeps the entry of this instance in the store."""
+
+    def __init__(
+        self,
+        key: str,
+        state: PeerState,
+        store: SharedStore,
+        rng: random.Random,
+        log: EventLog,
+    ):
+        self.key = key
+        self.state = state
+        self.store = store
+        self.rng = rng
+        self.log = log
+        self.lease = 0
+        self.present = False
+
+    async def run(self) -> None:
+        """Register, and renew the lease until cancelled."""
+        while True:
+            try:
+                if self.present:
+                    await self.store.renew_lease(self.lease)
+                else:
+                    await self._register()
+            except LeaseEndedError:
+                self.present = False
+                continue
+            except StoreError as error:
+                # The watches log the outage; an entry that lapsed is written
+                # again with the next turn.
+                self.log.write_sampled(Event.KEY_VALUE_LOST, cause=str(error))
+            await asyncio.sleep(RENEW_S * (0.8 + 0.4 * self.rng.random()))
+
+    async def withdraw(self) -> None:
+        """Remove the entry, so that peers name this instance no more."""
+        if not self.present:
+            return
+        self.present = False
+        try:
+            await self.store.end_lease(self.lease)
+        except StoreError as error:
+            # The lease runs out by itself.
+            self.log.write_sampled(Event.KEY_VALUE_LOST, cause=str(error))
+
+    async def _register(self):
+        self.lease = await self.store.grant_lease(LEASE_S)
+        write = Write(self.key, encode_entry(self.state), self.lease)
+        await self.store.transact((), (write,))
+        self.present = True
--- /dev/null
+++ b/src/cassiaford/gateway/_settings.py
@@ -0,0 +1,46 @@
+"""The settings of one gateway, in the product's own terms."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class GatewayAddresses:
+    """Where a gateway listens, as ``host:port``.
+
+    `front` serves callers, `readiness` the platform's probe, `directory`
+    callers that ask where to connect, and `peer` other instances, over UDP
+    for reports and over TCP for copies of the store.
+    """
+
+    front: str
+    readiness: str
+    directory: str
+    peer: str
+
+
+@dataclass(frozen=True)
+class ResendLimits:
+    """How often the fleet may resend; see `SendBudget`."""
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+@dataclass(frozen=True)
+class GatewaySettings:
+    """What a gateway is started with.
+
+    `weights_within_s` is the time in which named weights are to be in place
+    everywhere, `drain_s` the time from a planned stop to the end of the
+    process, `directory_ttl_s` how long callers may keep a directory's answer.
+    """
+
+    instance: str
+    data_centre: str
+    addresses: GatewayAddresses
+    store_address: str
+    resends: ResendLimits
+    weights_within_s: float
+    drain_s: float
+    directory_ttl_s: float
--- /dev/null
+++ b/src/cassiaford/gateway/peers.capnp
@@ -0,0 +1,54 @@
+@0xe1b0a4c2d7f35a91;
+
+# What instances tell each other. A report travels as one datagram, packed; it
+# may be lost, doubled or reordered. Fields are only ever added.
+
+struct Work {
+  server @0 :UInt32;        # digest of the backend server's incarnation
+  prefillMs @1 :UInt32;     # placed there since the sender's start
+  running @2 :UInt16;
+  tokens @3 :UInt32;        # of the requests running
+}
+
+struct Spending {
+  customer @0 :UInt32;      # digest of the customer's name
+  tokens @1 :UInt64;        # spent since the sender's start
+}
+
+struct UnitPlacement {
+  unit @0 :UInt32;          # digest of a prefix that prompts share
+  server @1 :UInt32;
+}
+
+struct Report {
+  name @0 :Text;
+  incarnation @1 :UInt64;   # milliseconds of the sender's start
+  dataCentre @2 :Text;
+  frontAddress @3 :Text;
+  peerAddress @4 :Text;
+  ready @5 :Bool;
+  whole @6 :Bool;           # false: only what has changed
+  work @7 :List(Work);
+  spending @8 :List(Spending);
+  held @9 :List(UInt32);    # engines taken out of use for new weights
+  placements @10 :List(UnitPlacement);
+  revision @11 :UInt64;     # of the sender's copy of the store
+  sequence @12 :UInt32;
+}
+
+# An instance's copy of a part of the store, for a peer that the store rejects.
+struct Item {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+}
+
+struct Section {
+  prefix @0 :Text;
+  revision @1 :UInt64;
+  items @2 :List(Item);
+}
+
+struct Snapshot {
+  sections @0 :List(Section);
+}
--- /dev/null
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -0,0 +1,42 @@
+"""Decisions of the gateway, free of clock, socket and global randomness.
+
+Times are seconds on a monotonic clock that the caller reads.
+"""
+
+from cassiaford.gateway.policy._engine_book import (
+    EngineBook,
+    EngineView,
+    PlacedWork,
+    Placement,
+)
+from cassiaford.gateway.policy._fleet_rates import FleetRates, Limit
+from cassiaford.gateway.policy._generation import Generation, Prefix
+from cassiaford.gateway.policy._named_versions import NamedVersions
+from cassiaford.gateway.policy._peer_table import PeerState, PeerTable
+from cassiaford.gateway.policy._registry import ServerRegistry
+from cassiaford.gateway.policy._roll_out import GiveOrder, RollOut, RollOutServer
+from cassiaford.gateway.policy._send_budget import SendBudget
+from cassiaford.gateway.policy._server_trust import ServerTrust
+from cassiaford.gateway.policy._service_book import PlainServer, ServiceBook
+
+__all__ = [
+    "EngineBook",
+    "EngineView",
+    "FleetRates",
+    "Generation",
+    "GiveOrder",
+    "Limit",
+    "NamedVersions",
+    "PeerState",
+    "PeerTable",
+    "PlacedWork",
+    "Placement",
+    "PlainServer",
+    "Prefix",
+    "RollOut",
+    "RollOutServer",
+    "SendBudget",
+    "ServerRegistry",
+    "ServerTrust",
+    "ServiceBook",
+]
--- /dev/null
+++ b/src/cassiaford/gateway/policy/_engine_book.py
@@ -0,0 +1,261 @@
+"""Placement on model engines, by prefix and by the fleet's work before it.
+
+Prompts share prefixes in levels. The level that holds most of what a prompt
+shares is its unit of placement: instances tell each other on which engines
+they place a unit, and send its prompts there again. A unit that no engine is
+known to hold goes where rendezvous hashing and the engines' load point, which
+is the same engine for all instances. Each engine has a virtual clock of
+prefill work: what any instance places there moves it on, so a home that is
+busy is seen to be busy by all before it turns requests away.
+"""
+
+import random
+from collections.abc import Hashable, Sequence
+from dataclasses import dataclass, field
+
+import xxhash
+
+from cassiaford.gateway.policy._generation import Generation
+from cassiaford.gateway.policy._unit_homes import UnitHomes
+
+# Prompt tokens that an engine is taken to read in a second until it is known.
+PREFILL_TOKENS_PER_S = 100_000.0
+# From sending to the first token of a prompt that is cached, on an idle engine.
+FIRST_TOKEN_S = 0.07
+# Reading shared parts again takes engine time and memory from all later
+# requests, so it weighs more than a wait of the same length.
+REREAD_WEIGHT = 12.0
+# With all slots taken, a request waits for one to end.
+SLOT_WAIT_S = 0.05
+# Decoding slows as the batch fills.
+FULL_BATCH_COST_S = 0.06
+# Engines preempt requests when memory runs out, so the last part is left free.
+MEMORY_SHARE = 0.9
+# Of more engines than this, only homes and a sample are scored.
+SCORE_ALL = 16
+HOMES = 3
+SAMPLED = 4
+# Where homes cost the same, all instances prefer the same ones.
+RANK_COST_S = 0.002
+LAG_WEIGHT = 0.3
+MAX_LAG_S = 1.0
+
+
+@dataclass(frozen=True)
+class EngineView:
+    """An engine that may take a request, and what is known against it.
+
+    `new_unit_cost_s` counts only for units that it does not hold.
+    """
+
+    key: Hashable
+    name: str
+    slots: int
+    memory_tokens: int
+    cost_s: float = 0.0
+    new_unit_cost_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class PlacedWork:
+    """What a peer has placed on an engine.
+
+    `prefill_s` adds up since the peer's start; `running` and `tokens` are of
+    this moment.
+    """
+
+    prefill_s: float
+    running: int
+    tokens: int
+
+
+@dataclass(frozen=True)
+class Placement:
+    """The engine chosen, and when its first token is expected."""
+
+    engine: EngineView
+    first_token_s: float
+    prefill_s: float
+
+
+@dataclass
+class _Engine:
+    busy_until: float = 0.0
+    lag_s: float = 0.0
+    placed_s: float = 0.0
+    own: dict[str, tuple[int, float]] = field(default_factory=dict)
+    own_tokens: int = 0
+    peers: dict[str, PlacedWork] = field(default_factory=dict)
+
+    @property
+    def running(self):
+        return len(self.own) + sum(p.running for p in self.peers.values())
+
+    @property
+    def tokens(self):
+        return self.own_tokens + sum(p.tokens for p in self.peers.values())
+
+
+class EngineBook:
+    """Knows what the fleet has placed on each engine, and places requests.
+
+    Examples
+    --------
+    >>> book = EngineBook()
+    >>> from cassiaford.gateway.policy import Prefix
+    >>> prefix = Prefix(b"binder", 5000)
+    >>> engines = [EngineView(name, name, 8, 100_000) for name in "ab"]
+    >>> request = Generation("r1", (prefix,), 6000, 40)
+    >>> first = book.place(request, engines, 0.0, random.Random(1))
+    >>> second = book.place(request, engines, 0.0, random.Random(2))
+    >>> first.engine == second.engine
+    True
+    """
+
+    def __init__(self):
+        self.engines: dict[Hashable, _Engine] = {}
+        self.homes = UnitHomes()
+
+    def place(
+        self,
+        request: Generation,
+        engines: Sequence[EngineView],
+        now: float,
+        rng: random.Random,
+    ) -> Placement | None:
+        """Return the engine with the least cost, or None if none has room."""
+        unit = request.unit
+        homes = self.homes.engines(unit, now)
+        ranked = sorted(engines, key=lambda view: _score(unit, view.name))
+        best = None
+        least = 0.0
+        for rank, view in self._candidates(ranked, homes, rng):
+            cost, placement = self._cost(request, view, rank, homes, now)
+            if placement is not None and (best is None or cost < least):
+                best, least = placement, cost
+        return best
+
+    def started(self, request: Generation, placement: Placement, now: float) -> None:
+        """Take note of a request that was sent."""
+        engine = self._engine(placement.engine.key)
+        engine.busy_until = max(now, engine.busy_until) + placement.prefill_s
+        engine.placed_s += placement.prefill_s
+        tokens = request.prompt_tokens + request.output_tokens
+        engine.own[request.request_id] = (tokens, now + placement.first_token_s)
+        engine.own_tokens += tokens
+        self.homes.placed(request, placement.engine.key, now)
+
+    def first_token(self, request_id: str, key: Hashable, now: float) -> None:
+        """Learn how far an engine lags behind what was expected of it."""
+        engine = self.engines.get(key)
+        if engine is None or request_id not in engine.own:
+            return
+        lag = now - engine.own[request_id][1]
+        engine.lag_s += LAG_WEIGHT * (min(lag, MAX_LAG_S) - engine.lag_s)
+        if lag < 0:
+            engine.busy_until = max(now, engine.busy_until + lag)
+
+    def ended(self, request_id: str, key: Hashable) -> None:
+        """Take note that a request has ended."""
+        engine = self.engines.get(key)
+        if engine is not None:
+            tokens, _ = engine.own.pop(request_id, (0, 0.0))
+            engine.own_tokens -= tokens
+
+    def turned_away(self, request_id: str, placement: Placement) -> None:
+        """Take back the work of a request that an engine did not start."""
+        engine = self.engines.get(placement.engine.key)
+        if engine is not None and request_id in engine.own:
+            engine.busy_until -= placement.prefill_s
+            engine.placed_s -= placement.prefill_s
+        self.ended(request_id, placement.engine.key)
+
+    def hear(
+        self, peer: str, work: dict[Hashable, PlacedWork], whole: bool, now: float
+    ) -> None:
+        """Take in what a peer has placed, on all engines or those that changed."""
+        for key, placed in work.items():
+            engine = self._engine(key)
+            before = engine.peers.get(peer)
+            engine.peers[peer] = placed
+            if before is not None and placed.prefill_s > before.prefill_s:
+                added = placed.prefill_s - before.prefill_s
+                engine.busy_until = max(now, engine.busy_until) + added
+        if whole:
+            for key, engine in self.engines.items():
+                if key not in work:
+                    engine.peers.pop(peer, None)
+
+    def forget_peer(self, peer: str) -> None:
+        """Forget the requests of a peer that is gone; its work still counts."""
+        for engine in self.engines.values():
+            engine.peers.pop(peer, None)
+
+    def emptied(self, key: Hashable) -> None:
+        """Forget what an engine kept, after new weights or a restart."""
+        engine = self.engines.get(key)
+        self.homes.emptied(key)
+        if engine is not None:
+            engine.lag_s = 0.0
+
+    def keep(self, keys: set[Hashable]) -> None:
+        """Forget all engines but these and those that still run requests."""
+        for key in set(self.engines) - keys:
+            if not self.engines[key].own:
+                del self.engines[key]
+
+    def own_work(self) -> dict[Hashable, PlacedWork]:
+        """Return what this instance has placed, by engine."""
+        return {
+            key: PlacedWork(e.placed_s, len(e.own), e.own_tokens)
+            for key, e in self.engines.items()
+            if e.placed_s or e.own
+        }
+
+    def tokens(self, key: Hashable) -> int:
+        """Return the tokens of the requests that the fleet runs on an engine."""
+        engine = self.engines.get(key)
+        return engine.tokens if engine is not None else 0
+
+    def _engine(self, key):
+        engine = self.engines.get(key)
+        if engine is None:
+            engine = self.engines[key] = _Engine()
+        return engine
+
+    def _candidates(self, ranked, homes, rng):
+        if len(ranked) <= SCORE_ALL:
+            return enumerate(ranked)
+        chosen = set(range(HOMES)) | {
+            rng.randrange(HOMES, len(ranked)) for _ in range(SAMPLED)
+        }
+        chosen.update(i for i, view in enumerate(ranked) if view.key in homes)
+        return [(rank, ranked[rank]) for rank in sorted(chosen)]
+
+    def _cost(self, request, view, rank, homes, now):
+        engine = self._engine(view.key)
+        tokens = request.prompt_tokens + request.output_tokens
+        running = engine.running
+        if running and engine.tokens + tokens > view.memory_tokens * MEMORY_SHARE:
+            return 0.0, None
+        kept = self.homes.kept(request, view.key, homes, now)
+        lacking = request.shared_tokens - kept
+        own = request.prompt_tokens - request.shared_tokens
+        prefill_s = (own + lacking) / PREFILL_TOKENS_PER_S
+        wait_s = max(0.0, engine.busy_until - now)
+        if running >= view.slots:
+            wait_s += SLOT_WAIT_S * (1 + (running - view.slots) / view.slots)
+        lag_s = max(0.0, engine.lag_s)
+        first_s = FIRST_TOKEN_S + wait_s + prefill_s + lag_s
+        cost = first_s + view.cost_s + rank * RANK_COST_S
+        if view.key not in homes:
+            cost += view.new_unit_cost_s
+        if homes:
+            # Another engine holds these parts; else they must be read anyway.
+            cost += (REREAD_WEIGHT - 1) * lacking / PREFILL_TOKENS_PER_S
+        cost += FULL_BATCH_COST_S * running / view.slots
+        return cost, Placement(view, first_s, prefill_s)
+
+
+def _score(prefix, name):
+    return xxhash.xxh3_64_intdigest(prefix + name.encode())
--- /dev/null
+++ b/src/cassiaford/gateway/policy/_roll_out.py
@@ -0,0 +1,128 @@
+"""Which engines are given new weights, and when.
+
+A few engines at a time are taken out of use by the whole fleet, ordered to
+load, and put back when they report the new weights. An engine is ordered to
+the newest version at that moment, so a version overtaken before its turn is
+never loaded.
+"""
+
+import enum
+import math
+from collections.abc import Hashable, Iterable
+from dataclasses import dataclass
+
+from cassiaford.gateway.policy._named_versions import NamedVersions
+
+# Weights load more slowly when more than about a third load at once.
+AT_ONCE_SHARE = 1 / 3
+# Until every instance has heard that an engine is taken out of use.
+HOLD_S = 0.15
+# An order without effect is given again after this time.
+REORDER_S = 2.5
+# In the last part of the time for a version, all engines load at once.
+URGENT_SHARE = 0.55
+
+
+class _Step(enum.Enum):
+    HELD = 1
+    ORDERED = 2
+
+
+@dataclass(frozen=True)
+class RollOutServer:
+    """An engine, the version of a model that it has, and its load.
+
+    `tokens` are those of the requests that run on it.
+    """
+
+    key: Hashable
+    model: str
+    version: int
+    tokens: int
+
+
+@dataclass(frozen=True)
+class GiveOrder:
+    """Asks for an engine to be ordered to a version."""
+
+    key: Hashable
+    model: str
+    version: int
+
+
+@dataclass
+class _Turn:
+    step: _Step
+    since: float
+    version: int = 0
+
+
+class RollOut:
+    """Plans loads for the one instance that gives orders.
+
+    Examples
+    --------
+    >>> named = NamedVersions()
+    >>> roll_out = RollOut(named, within_s=6.0)
+    >>> named.name("m", 2, now=0.0)
+    True
+    >>> engines = [RollOutServer(name, "m", 1, 0) for name in "abc"]
+    >>> roll_out.plan(engines, 0.0), sorted(roll_out.held)
+    ([], ['a'])
+    >>> roll_out.plan(engines, 0.2)
+    [GiveOrder(key='a', model='m', version=2)]
+    """
+
+    def __init__(self, named: NamedVersions, within_s: float):
+        self.named = named
+        self.within_s = within_s
+        self.turns: dict[Hashable, _Turn] = {}
+
+    @property
+    def held(self) -> set[Hashable]:
+        """The engines that should get no new requests."""
+        return set(self.turns)
+
+    def behind(self, servers: Iterable[RollOutServer]) -> list[RollOutServer]:
+        """Return the engines whose version is not the newest."""
+        return [s for s in servers if s.version < self.named.newest(s.model)]
+
+    def plan(self, servers: Iterable[RollOutServer], now: float) -> list[GiveOrder]:
+        """Return the orders that are due, and choose the engines in turn."""
+        servers = list(servers)
+        behind = {s.key: s for s in self.behind(servers)}
+        for key in set(self.turns) - set(behind):
+            del self.turns[key]
+        self._choose(behind, len(servers), now)
+        orders = []
+        for key, turn in self.turns.items():
+            server = behind[key]
+            if self._due(turn, now):
+                version = self.named.newest(server.model)
+                orders.append(GiveOrder(key, server.model, version))
+                turn.step, turn.since, turn.version = _Step.ORDERED, now, version
+        return orders
+
+    def order_lost(self, key: Hashable) -> None:
+        """Give an order again soon; it was refused or its answer was lost."""
+        turn = self.turns.get(key)
+        if turn is not None:
+            turn.step = _Step.HELD
+
+    def _due(self, turn, now):
+        wait = HOLD_S if turn.step is _Step.HELD else REORDER_S
+        return now - turn.since >= wait
+
+    def _choose(self, behind, count, now):
+        waiting = [s for key, s in behind.items() if key not in self.turns]
+        waiting.sort(key=lambda s: (s.version, s.tokens, str(s.key)))
+        for server in waiting:
+            if len(self.turns) >= self._at_once(server, count, now):
+                return
+            self.turns[server.key] = _Turn(_Step.HELD, now)
+
+    def _at_once(self, server, count, now):
+        behind_s = self.named.behind_for(server.model, server.version, now)
+        if behind_s > self.within_s * URGENT_SHARE:
+            return count
+        return max(1, math.ceil(count * AT_ONCE_SHARE))
--- /dev/null
+++ b/src/cassiaford/gateway/policy/_unit_homes.py
@@ -0,0 +1,96 @@
+"""Which engines hold which units of placement, as the fleet has told."""
+
+import collections
+from collections.abc import Hashable
+
+import xxhash
+
+from cassiaford.gateway.policy._generation import Generation
+
+# An engine is taken to hold a unit for this long after its last use there.
+KNOWN_FOR_S = 10.0
+# A unit still in use is told to peers again after this time.
+TELL_AGAIN_S = 4.0
+# Units remembered; those used longest ago are forgotten first.
+MOST_UNITS = 8192
+
+
+class UnitHomes:
+    """Remembers where units were placed, by this instance and its peers.
+
+    Examples
+    --------
+    >>> homes = UnitHomes()
+    >>> homes.hear([(7, "engine-1")], now=0.0)
+    >>> homes.emptied("engine-1")
+    >>> homes.units[7]
+    {}
+    """
+
+    def __init__(self):
+        self.units: collections.OrderedDict[int, dict[Hashable, float]] = (
+            collections.OrderedDict()
+        )
+        self.first_levels: dict[tuple[bytes, Hashable], float] = {}
+        self.told_at: dict[tuple[int, Hashable], float] = {}
+        self.to_tell: list[tuple[int, Hashable]] = []
+
+    def engines(self, unit: bytes, now: float) -> set[Hashable]:
+        """Return the engines that hold a unit."""
+        known = self.units.get(_digest(unit), {})
+        return {key for key, used_at in known.items() if now - used_at < KNOWN_FOR_S}
+
+    def kept(
+        self, request: Generation, key: Hashable, homes: set[Hashable], now: float
+    ) -> int:
+        """Return the shared tokens that an engine is taken to hold."""
+        if key in homes:
+            return request.shared_tokens
+        if not request.levels:
+            return 0
+        first = request.levels[0]
+        used_at = self.first_levels.get((first.key, key))
+        recent = used_at is not None and now - used_at < KNOWN_FOR_S
+        return first.tokens if recent else 0
+
+    def placed(self, request: Generation, key: Hashable, now: float) -> None:
+        """Take note of a placement, and tell peers what is new to them."""
+        if not request.levels:
+            return
+        unit = _digest(request.unit)
+        self._use(unit, key, now)
+        self.first_levels[request.levels[0].key, key] = now
+        if now - self.told_at.get((unit, key), -TELL_AGAIN_S) >= TELL_AGAIN_S:
+            self.told_at[unit, key] = now
+            self.to_tell.append((unit, key))
+
+    def hear(self, placements: list[tuple[int, Hashable]], now: float) -> None:
+        """Take in what a peer has placed."""
+        for unit, key in placements:
+            self._use(unit, key, now)
+            self.told_at[unit, key] = now
+
+    def take_to_tell(self) -> list[tuple[int, Hashable]]:
+        """Return what peers have not been told yet, once."""
+        told, self.to_tell = self.to_tell, []
+        return told
+
+    def emptied(self, key: Hashable) -> None:
+        """Forget what an engine held."""
+        for engines in self.units.values():
+            engines.pop(key, None)
+        for known in (self.first_levels, self.told_at):
+            for pair in [pair for pair in known if pair[1] == key]:
+                del known[pair]
+
+    def _use(self, unit, key, now):
+        self.units.setdefault(unit, {})[key] = now
+        self.units.move_to_end(unit)
+        while len(self.units) > MOST_UNITS:
+            gone, engines = self.units.popitem(last=False)
+            for engine in engines:
+                self.told_at.pop((gone, engine), None)
+
+
+def _digest(unit):
+    return xxhash.xxh32_intdigest(unit)
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -24,6 +24,7 @@
     INSTANCE_READY = (1002, Level.INFO, "instance ready to serve")
     DRAIN_STARTED = (1003, Level.INFO, "graceful shutdown started")
     DRAIN_FINISHED = (1004, Level.INFO, "graceful shutdown finished")
+    INSTANCE_SUSPENDED = (1007, Level.WARNING, "instance was suspended")
     DRAIN_CUT_SHORT = (1005, Level.ERROR, "graceful shutdown cut short")
     THREAD_FAILED = (1006, Level.ERROR, "background thread failed and goes on")
 
@@ -35,6 +36,9 @@
     REVISION_REJECTED = (1105, Level.ERROR, "configuration entry not usable")
     SNAPSHOT_WRITTEN = (1106, Level.INFO, "configuration snapshot written")
 
+    VERSION_NAMED = (1107, Level.INFO, "version of weights named")
+    COPY_TAKEN = (1108, Level.INFO, "newer state taken from a peer")
+
     # 12xx: requests.
     REQUEST_REFUSED = (1202, Level.INFO, "request refused")
     REQUEST_PLACED = (1203, Level.DEBUG, "request sent to backend server")
@@ -50,6 +54,10 @@
     ENGINE_REACHABLE = (1312, Level.INFO, "engine answers polls again")
     ENGINE_RESTARTED = (1313, Level.WARNING, "engine came back with an empty cache")
 
+    SERVER_JOINED = (1321, Level.INFO, "backend server registered")
+    SERVER_CHANGED = (1322, Level.INFO, "backend server's entry changed")
+    SERVER_LEFT = (1323, Level.INFO, "backend server's entry removed")
+
     # 14xx: peers and membership.
     MEMBER_JOINED = (1401, Level.INFO, "instance is live")
     MEMBER_SUSPECTED = (1402, Level.INFO, "instance does not answer")
--- a/src/cassiaford/logs/_output.py
+++ b/src/cassiaford/logs/_output.py
@@ -41,15 +41,15 @@
         return f"{time} {record.levelname[0]} {record.getMessage()}{pairs}"
 
 
-def configure_logging(form: str, level: str) -> None:
-    """Send log lines of at least a level to standard error in a form."""
+def configure_logging(form: str, level: str, stream=None) -> None:
+    """Send log lines of at least a level to a stream, or standard error."""
     # absl warns about each process that logs before its own flags are parsed;
     # this one has none.
     flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     formatter = _JsonFormatter() if form == "json" else _TextFormatter()
     handler.setFormatter(formatter)
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = stream or sys.stderr
     logging.use_absl_handler()
     logging.set_verbosity(_ABSL_LEVELS[Level(level)])
 
--- a/src/cassiaford/pipeline/_body.py
+++ b/src/cassiaford/pipeline/_body.py
@@ -4,10 +4,10 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
+from cassiaford._event_splitter import EventSplitter
 from cassiaford.pipeline._caller import CallerConnection
 from cassiaford.pipeline._events import (
     PLAIN_EVENT,
-    EventSplitter,
     event_text,
     read_event,
     read_usage,
--- a/src/cassiaford/pipeline/_events.py
+++ b/src/cassiaford/pipeline/_events.py
@@ -1,7 +1,6 @@
-"""Cutting a stream into whole server-sent events and reading what matters.
+"""Reading what matters in a model's server-sent events.
 
-The format is that of the HTML standard's section on server-sent events; an
-event ends at an empty line. Events pass as they came, byte for byte.
+Events pass as they came, byte for byte.
 """
 
 import json
@@ -10,52 +9,12 @@
 
 from cassiaford.pipeline._messages import Usage
 
-# An event longer than this is taken for a broken stream.
-MAX_EVENT_BYTES = 4 * 1024 * 1024
-
 _DONE_WITHIN = len(b"data: [DONE]\n\n")
-_END_OF_EVENT = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _FINISHED = re.compile(rb'"finish_reason"\s*:\s*"')
 _USAGE = re.compile(rb'"usage"\s*:\s*\{')
 _ERROR = re.compile(rb'^data:\s*\{\s*"error"\s*:')
 
 
-class StreamError(ValueError):
-    """A stream that holds no valid events."""
-
-
-class EventSplitter:
-    """Collects bytes until events are whole.
-
-    Examples
-    --------
-    >>> splitter = EventSplitter()
-    >>> splitter.feed(b"data: 1\\n\\ndata: ")
-    [b'data: 1\\n\\n']
-    >>> splitter.feed(b"2\\n\\n")
-    [b'data: 2\\n\\n']
-    """
-
-    def __init__(self):
-        self.partial = b""
-
-    def feed(self, data: bytes) -> list[bytes]:
-        """Return the events that are whole now, each with its empty line."""
-        if self.partial:
-            data = self.partial + data
-        elif _is_one_event(data):
-            return [data]
-        events = []
-        start = 0
-        for match in _END_OF_EVENT.finditer(data):
-            events.append(data[start : match.end()])
-            start = match.end()
-        self.partial = data[start:] if start else data
-        if len(self.partial) > MAX_EVENT_BYTES:
-            raise StreamError("an event is too long")
-        return events
-
-
 @dataclass(frozen=True)
 class EventFacts:
     """What an event says about its stream.
@@ -120,12 +79,6 @@
     return document.get("choices")
 
 
-def _is_one_event(data):
-    """Return whether data are one whole event, as they mostly are."""
-    end = data.find(b"\n\n")
-    return end >= 0 and end == len(data) - 2 and b"\r" not in data
-
-
 def _has_data(event):
     return event.startswith(b"data:") or b"\ndata:" in event or b"\rdata:" in event
 
--- a/src/cassiaford/pipeline/_exchange.py
+++ b/src/cassiaford/pipeline/_exchange.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from cassiaford._event_splitter import StreamError
 from cassiaford.pipeline._answer_connection import AnswerConnection, AttemptListener
 from cassiaford.pipeline._answers import (
     REQUEST_ID_HEADER,
@@ -19,7 +20,6 @@
     create_body,
 )
 from cassiaford.pipeline._caller import CallerConnection, CallerListener
-from cassiaford.pipeline._events import StreamError
 from cassiaford.pipeline._job import Job
 from cassiaford.pipeline._limits import ExchangeLimits
 from cassiaford.pipeline._messages import Header, Outcome
--- /dev/null
+++ b/src/cassiaford/platform/__init__.py
@@ -0,0 +1,5 @@
+"""The adapter to the users' platform: it translates, and decides nothing."""
+
+from cassiaford.platform._start import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/cassiaford/platform/_dialect.py
@@ -0,0 +1,154 @@
+"""The headers that callers, the system and backend servers use."""
+
+import math
+
+from cassiaford.gateway import (
+    HOP_BY_HOP,
+    Dialect,
+    Forwarding,
+    Headers,
+    HttpRequest,
+    MalformedError,
+    PromptPart,
+    RequestFacts,
+    ResponseFacts,
+    ServerLoad,
+)
+
+# Headers that the system sets itself; what a caller sends in them is dropped.
+_SYSTEM_HEADERS = frozenset(
+    {
+        "x-key",
+        "x-deadline-ms",
+        "x-tenant",
+        "x-expect-instance",
+        "x-expect-version",
+        "x-cache-salt",
+        "x-kv-fetch",
+        "x-kv-save",
+        "x-request-urgency",
+        "x-pin-ms",
+        "x-hold",
+        "x-kv-backup",
+        "kv-from",
+        "content-length",
+        "expect",
+    }
+)
+# Told to the system by backend servers, and of no use to callers.
+_SERVER_HEADERS = frozenset({"x-server-load", "x-instance-id"})
+_HIGHEST_URGENCY = 9
+
+
+class PlatformDialect(Dialect):
+    """Reads and writes the platform's headers."""
+
+    def read_request(self, request: HttpRequest) -> RequestFacts:
+        """Return what a caller's headers say."""
+        headers = {name.lower(): value for name, value in request.headers}
+        attempt_id = headers.get("x-attempt-id", "")
+        if not attempt_id:
+            raise MalformedError("the request has no X-Attempt-Id")
+        prompt, output = _token_count(headers.get("x-token-count"))
+        return RequestFacts(
+            attempt_id=attempt_id,
+            host=headers.get("host", "").partition(":")[0],
+            key=headers.get("x-key"),
+            deadline_s=_seconds(headers.get("x-deadline-ms")),
+            model=headers.get("x-model"),
+            prompt_tokens=prompt,
+            output_tokens=output,
+            parts=_parts(headers.get("x-prompt-prefix")),
+        )
+
+    def forwarded_headers(self, request: HttpRequest, facts: Forwarding) -> Headers:
+        """Return the headers with which a request goes to a backend server."""
+        listed = _listed_by_connection(request.headers)
+        dropped = _SYSTEM_HEADERS | HOP_BY_HOP | listed
+        if facts.resume_after is not None:
+            dropped |= {"last-event-id"}
+        headers = [(n, v) for n, v in request.headers if n.lower() not in dropped]
+        headers.append(("X-Expect-Instance", facts.server.server_id))
+        if facts.time_left_s is not None:
+            left_ms = max(1, math.floor(facts.time_left_s * 1000))
+            headers.append(("X-Deadline-Ms", str(left_ms)))
+        if facts.customer is not None:
+            headers.append(("X-Tenant", facts.customer))
+        if facts.cache_scope is not None:
+            headers.append(("X-Cache-Salt", facts.cache_scope))
+        if facts.urgency is not None:
+            urgency = min(max(facts.urgency, 0), _HIGHEST_URGENCY)
+            headers.append(("X-Request-Urgency", str(urgency)))
+        if facts.expected_version is not None:
+            headers.append(("X-Expect-Version", str(facts.expected_version)))
+        if facts.resume_after is not None:
+            headers.append(("Last-Event-Id", facts.resume_after))
+        return headers
+
+    def read_response(self, status: int, headers: Headers) -> ResponseFacts:
+        """Return what the headers of a response say."""
+        fields = {name.lower(): value for name, value in headers}
+        misdirected = status == 421
+        return ResponseFacts(
+            attempt_id=fields.get("x-attempt-id"),
+            signed="x-response-seal" in fields,
+            # A 421 is itself the statement that the request has not run.
+            not_run="x-not-executed" in fields or misdirected,
+            misdirected=misdirected,
+            load=_load(fields.get("x-server-load")),
+        )
+
+    def returned_headers(self, headers: Headers) -> Headers:
+        """Return the headers of a response that its caller gets."""
+        dropped = HOP_BY_HOP | _SERVER_HEADERS | _listed_by_connection(headers)
+        return [(n, v) for n, v in headers if n.lower() not in dropped]
+
+
+def _listed_by_connection(headers):
+    """Return the names that a Connection header makes hop-by-hop."""
+    return {
+        option.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for option in value.split(",")
+    }
+
+
+def _seconds(value):
+    if value is None:
+        return None
+    try:
+        return float(value) / 1000
+    except ValueError as error:
+        raise MalformedError("X-Deadline-Ms is not a number") from error
+
+
+def _token_count(value):
+    if value is None:
+        return 0, 0
+    try:
+        prompt, _, output = value.partition(",")
+        return int(prompt), int(output or 0)
+    except ValueError as error:
+        raise MalformedError("X-Token-Count is not two numbers") from error
+
+
+def _parts(value):
+    if not value:
+        return ()
+    parts = []
+    for entry in value.split(","):
+        part_id, _, tokens = entry.strip().partition(":")
+        if not tokens.isdigit():
+            raise MalformedError("X-Prompt-Prefix is not a list of parts")
+        parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _load(value):
+    """Return a server's load; one that cannot be read is not told at all."""
+    fields = (value or "").split(",")
+    if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
+        return None
+    running, waiting, slots = map(int, fields)
+    return ServerLoad(running, waiting, slots)
--- /dev/null
+++ b/src/cassiaford/platform/_start.py
@@ -0,0 +1,45 @@
+"""Starting a gateway on the platform."""
+
+import asyncio
+import os
+import pathlib
+import sys
+
+from cassiaford.gateway import ConnectionPool, Gateway, GatewayWorld, HttpCaller
+from cassiaford.logs import configure_logging
+from cassiaford.platform._dialect import PlatformDialect
+from cassiaford.platform._directory import PlatformDirectory, PlatformProbe
+from cassiaford.platform._engines import PlatformEngineControl
+from cassiaford.platform._records import PlatformRecords
+from cassiaford.platform._settings import PATH_VARIABLE, read_settings
+from cassiaford.platform._store import PlatformStore
+
+
+def create_world(store_address: str) -> GatewayWorld:
+    """Return what a gateway on the platform is given."""
+    pool = ConnectionPool()
+    caller = HttpCaller(pool)
+    return GatewayWorld(
+        dialect=PlatformDialect(),
+        records=PlatformRecords(),
+        directory=PlatformDirectory(),
+        probe=PlatformProbe(),
+        store=PlatformStore(store_address, caller),
+        control=PlatformEngineControl(caller),
+        pool=pool,
+    )
+
+
+async def serve(path: pathlib.Path) -> None:
+    """Serve with the settings of a file until SIGTERM."""
+    settings = read_settings(path)
+    await Gateway(settings, create_world(settings.store_address)).run()
+
+
+def main() -> None:
+    """Serve with the settings file that the environment names."""
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        sys.exit(f"{PATH_VARIABLE} names no settings file")
+    configure_logging("json", "info", sys.stdout)
+    asyncio.run(serve(pathlib.Path(path)))
--- /dev/null
+++ b/src/serve_on_platform.py
@@ -0,0 +1,5 @@
+"""Starts a gateway on the users' platform, from a checkout."""
+
+from cassiaford.platform import main
+
+main()
