--- a/src/cassiaford/gateway/_attempt.py
+++ b/src/cassiaford/gateway/_attempt.py
@@ -114,8 +114,7 @@
 
     def _judge(self, head, facts):
         if facts.misdirected:
-            self.pool.forget(self.address)
-            raise ExchangeError(Failure.NOT_STARTED, "another server has the address")
+            self._misdirected(facts)
         if facts.not_run and head.status in NOT_RUN_STATUSES:
             raise ExchangeError(Failure.NOT_STARTED, f"status {head.status}")
         if head.status in NOT_RUN_STATUSES:
@@ -124,6 +123,12 @@
         if 200 <= head.status < 300 and not facts.signed:
             raise ExchangeError(Failure.BROKEN_ANSWER, "success without signature")
 
+    def _misdirected(self, facts):
+        if facts.server_id == self.forwarding.server.server_id:
+            raise ExchangeError(Failure.NOT_STARTED, "the engine has other weights")
+        self.pool.forget(self.address)
+        raise ExchangeError(Failure.NOT_STARTED, "another server has the address")
+
 
 class EventReader:
     """Reads whole events of an answer; a part of one is never passed on."""
--- a/src/cassiaford/gateway/_beliefs.py
+++ b/src/cassiaford/gateway/_beliefs.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-from cassiaford.gateway._configuration import Customer, Route
+from cassiaford.gateway._configuration import Customer, EngineSpec, Route
 from cassiaford.gateway._messages import BackendServer, RequestFacts
 from cassiaford.gateway._view import View, digest
 from cassiaford.gateway.policy import (
@@ -28,6 +28,10 @@
 TOKEN_S = 0.012
 
 
+# Where the configuration says nothing of engines, memory is taken to suffice.
+_UNKNOWN_ENGINE = EngineSpec(slots=1, cache_tokens=1 << 40)
+
+
 @dataclass(frozen=True)
 class Choice:
     """The backend server chosen for one attempt."""
@@ -35,6 +39,8 @@
     key: int
     server: BackendServer
     placement: Placement | None = None
+    fetch_from: str | None = None
+    save_to: str | None = None
 
     @property
     def first_token_s(self) -> float:
@@ -67,6 +73,7 @@
         self.weights_due_s = weights_due_s
         self.rng = rng
         self.held: frozenset[int] = frozenset()
+        self.stores_away: set[str] = set()
         self.store_steady = lambda since: True
 
     def choose(
@@ -131,25 +138,48 @@
         return min((self.trust.back_in(key, now) for key in servers), default=1.0)
 
     def _choose_engine(self, servers, facts, customer, now):
-        spec = self.view.configuration.services
+        spec = _engine_spec(self.view.configuration, servers)
         free = {key: s for key, s in servers.items() if key not in self.held}
         views = [
             EngineView(
                 key,
                 server.server_id,
                 server.slots,
-                _memory(spec, server.service),
+                spec.cache_tokens,
                 self.trust.cost_s(key, now) + self._weights_cost(server, facts, now),
                 self._new_unit_cost(server, facts, now),
+                server.versions.get(facts.model, 0),
+                spec.link_bytes_per_s / spec.token_bytes if spec.token_bytes else 0.0,
             )
             for key, server in (free or servers).items()
             if not self._weights_overdue(server, facts, now)
         ]
         request = self._generation(facts, customer)
-        placement = self.engines.place(request, views, now, self.rng)
+        versions = {key: s.versions.get(facts.model, 0) for key, s in servers.items()}
+        placement = self.engines.place(request, views, now, self.rng, versions)
         if placement is None:
             return None
-        return Choice(placement.engine.key, servers[placement.engine.key], placement)
+        return self._engine_choice(placement, servers)
+
+    def _engine_choice(self, placement, servers):
+        """Return a choice with the places from and to which prefixes move."""
+        server = servers[placement.engine.key]
+        store = self._prefix_store()
+        source = servers.get(placement.source)
+        return Choice(
+            placement.engine.key,
+            server,
+            placement,
+            fetch_from=source.address if source is not None else store,
+            save_to=store if placement.save else None,
+        )
+
+    def _prefix_store(self):
+        """Return the address of a store for prefixes, the nearest if there are more."""
+        stores = self.view.configuration.prefix_stores
+        usable = [s for s in stores if s.address not in self.stores_away]
+        usable.sort(key=lambda store: store.data_centre != self.data_centre)
+        return usable[0].address if usable else None
 
     def _weights_cost(self, server, facts, now):
         age = self._behind_for(server, facts, now)
@@ -190,10 +220,12 @@
         )
 
 
-def _memory(services, name):
-    service = services.get(name)
-    engine = service.engine if service is not None else None
-    return engine.cache_tokens if engine is not None else 1 << 40
+def _engine_spec(configuration, servers):
+    for server in servers.values():
+        service = configuration.services.get(server.service)
+        if service is not None and service.engine is not None:
+            return service.engine
+    return _UNKNOWN_ENGINE
 
 
 def urgency_of(route: Route, customer: Customer | None) -> int:
--- a/src/cassiaford/gateway/_configuration.py
+++ b/src/cassiaford/gateway/_configuration.py
@@ -53,10 +53,16 @@
 
 @dataclass(frozen=True)
 class EngineSpec:
-    """What a service says of its model engines."""
+    """What a service says of its model engines.
+
+    A token of cache takes `token_bytes`, and an engine moves cache at
+    `link_bytes_per_s`.
+    """
 
     slots: int
     cache_tokens: int
+    token_bytes: float = 0.0
+    link_bytes_per_s: float = 0.0
     models: tuple[str, ...] = ()
 
 
@@ -69,6 +75,15 @@
     engine: EngineSpec | None = None
 
 
+@dataclass(frozen=True)
+class PrefixStore:
+    """A store that keeps cached prefixes for engines, beside them."""
+
+    address: str
+    data_centre: str
+    link_bytes_per_s: float
+
+
 @dataclass(frozen=True)
 class Customer:
     """A customer and its limits over all instances together.
@@ -108,6 +123,7 @@
     customers: dict[str, Customer] = field(default_factory=dict)
     customers_by_key: dict[str, Customer] = field(default_factory=dict, repr=False)
     limits: CallerLimits = CallerLimits()
+    prefix_stores: tuple[PrefixStore, ...] = ()
 
 
 class RouteTable:
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -272,12 +272,15 @@
     def _forwarding(self, choice: Choice) -> Forwarding:
         job = self.job
         customer = job.customer
-        isolated = customer is not None and customer.isolated
+        version = choice.server.versions.get(job.facts.model or "")
         return Forwarding(
             server=choice.server,
             time_left_s=job.ends_at - self.loop.time(),
             customer=customer.name if customer is not None else None,
-            cache_scope=customer.name if isolated else None,
+            cache_scope=_cache_scope(customer, version),
+            expected_version=version,
+            fetch_from=choice.fetch_from,
+            save_to=choice.save_to,
             urgency=urgency_of(job.route, customer) if choice.placement else None,
             resume_after=job.resume_after,
         )
@@ -320,4 +323,16 @@
         )
 
 
+def _cache_scope(customer, version):
+    """Return the scope of cached prefixes: one version, and one customer if isolated.
+
+    Prefixes that were made by other weights are never found under it, wherever
+    they are fetched from.
+    """
+    if version is None:
+        return None
+    isolated = customer is not None and customer.isolated
+    return f"{customer.name if isolated else ''}/{version}"
+
+
 _NOT_RUN = frozenset(f for f in Failure if f.verdict is Verdict.NOT_RUN)
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -43,6 +43,8 @@
 OWN_PREFIX = "cassiaford/"
 INSTANCES_PREFIX = OWN_PREFIX + "instances/"
 ORDERER_KEY = OWN_PREFIX + "orderer"
+# Engines that are loading are out of use until their entries are seen.
+SERVERS_GATHER_S = 0.12
 # How often what lapses is looked at.
 HOUSEKEEPING_S = 0.2
 # A machine whose clock that counts suspensions is ahead by this was suspended.
@@ -127,7 +129,7 @@
         records = self.world.records
         sections = (
             Section(records.operators_prefix),
-            Section(records.servers_prefix),
+            Section(records.servers_prefix, SERVERS_GATHER_S),
             Section(OWN_PREFIX),
         )
         self.mirror = Mirror(sections, self.view)
--- a/src/cassiaford/gateway/_messages.py
+++ b/src/cassiaford/gateway/_messages.py
@@ -100,7 +100,12 @@
 
 @dataclass(frozen=True)
 class Forwarding:
-    """What the gateway adds to a request that it passes on."""
+    """What the gateway adds to a request that it passes on.
+
+    Engines find cached prefixes only under the `cache_scope` under which they
+    were made. They fetch what they lack from `fetch_from`, and send what they
+    have read to `save_to`.
+    """
 
     server: BackendServer
     time_left_s: float | None
@@ -109,6 +114,8 @@
     urgency: int | None = None
     expected_version: int | None = None
     resume_after: str | None = None
+    fetch_from: str | None = None
+    save_to: str | None = None
 
 
 @dataclass(frozen=True)
@@ -133,4 +140,5 @@
     signed: bool
     not_run: bool
     misdirected: bool = False
+    server_id: str | None = None
     load: ServerLoad | None = None
--- a/src/cassiaford/gateway/_orders.py
+++ b/src/cassiaford/gateway/_orders.py
@@ -192,10 +192,8 @@
             return
         try:
             report = await self.control.report(server)
-            if self._holds_version(order, server, report):
-                return
-            if report.busy:
-                self.roll_out.order_lost(order.key)
+            if report.versions.get(order.model, 0) >= order.version:
+                # Its entry in the store, which ends its turn, is on the way.
                 return
             # Nothing is awaited between this check and the send.
             if not self.holds:
@@ -211,7 +209,6 @@
                 ),
             )
             self._answered(order, server, answer)
-            await self._await_version(order, server)
         except EngineCallError as error:
             self.log.write(
                 Event.ORDER_NOT_ACCEPTED, server=server.server_id, cause=str(error)
@@ -234,26 +231,3 @@
             fencing=self.fencing,
             answer=answer.value,
         )
-
-    async def _await_version(self, order, server):
-        """Ask the engine until it has the version; its entry follows later."""
-        while True:
-            await asyncio.sleep(2 * STEP_S)
-            report = await self.control.report(server)
-            if self._holds_version(order, server, report):
-                return
-            if not report.busy:
-                self.roll_out.order_lost(order.key)
-                return
-
-    def _holds_version(self, order, server, report):
-        if report.versions.get(order.model, 0) < order.version:
-            return False
-        self.view.engine_reported(server, report.versions)
-        self.log.write(
-            Event.LOAD_FINISHED,
-            server=server.server_id,
-            model=order.model,
-            version=order.version,
-        )
-        return True
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
 
 import xxhash
 
@@ -68,20 +67,6 @@
             if model in server.versions
         }
 
-    def engine_reported(self, server: BackendServer, versions: dict[str, int]) -> None:
-        """Take in weights that an engine reports before its entry says so."""
-        for key, known in self.registry.servers.items():
-            if known.incarnation == server.incarnation:
-                newest = {
-                    model: max(version, versions.get(model, 0))
-                    for model, version in known.versions.items()
-                }
-                if newest != known.versions:
-                    self.registry.put(key, replace(known, versions=newest))
-                    self.on_weights(server_key(known))
-                    self._index_servers()
-                return
-
     def _take_in(self, change):
         records = self.records
         if change.key == records.configuration_key:
@@ -135,11 +120,20 @@
             self.registry.put(change.key, server)
             if known == server:
                 return
-            self._log_server(known, server)
             if known is not None and known.versions != server.versions:
                 self.on_weights(server_key(server))
+                self._log_loaded(server)
+            else:
+                self._log_server(known, server)
         self._index_servers()
 
+    def _log_loaded(self, server):
+        self.log.write(
+            Event.LOAD_FINISHED,
+            server=server.server_id,
+            versions=str(server.versions),
+        )
+
     def _log_server(self, known, server):
         self.log.write(
             Event.SERVER_CHANGED if known else Event.SERVER_JOINED,
--- a/src/cassiaford/gateway/policy/_engine_book.py
+++ b/src/cassiaford/gateway/policy/_engine_book.py
@@ -10,7 +10,7 @@
 """
 
 import random
-from collections.abc import Hashable, Sequence
+from collections.abc import Hashable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import xxhash
@@ -25,6 +25,8 @@
 # Reading shared parts again takes engine time and memory from all later
 # requests, so it weighs more than a wait of the same length.
 REREAD_WEIGHT = 12.0
+# A copy from another engine takes a little time and memory that evicts others.
+COPY_WEIGHT = 1.0
 # With all slots taken, a request waits for one to end.
 SLOT_WAIT_S = 0.05
 # Decoding slows as the batch fills.
@@ -45,7 +47,8 @@
 class EngineView:
     """An engine that may take a request, and what is known against it.
 
-    `new_unit_cost_s` counts only for units that it does not hold.
+    `new_unit_cost_s` counts only for units that it does not hold. Prefixes are
+    held for one `version` of the weights, and moved at `fetch_tokens_per_s`.
     """
 
     key: Hashable
@@ -54,6 +57,8 @@
     memory_tokens: int
     cost_s: float = 0.0
     new_unit_cost_s: float = 0.0
+    version: int = 0
+    fetch_tokens_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -71,11 +76,17 @@
 
 @dataclass(frozen=True)
 class Placement:
-    """The engine chosen, and when its first token is expected."""
+    """The engine chosen, and when its first token is expected.
+
+    `source` is an engine that holds what the chosen one lacks, and `save` says
+    that the unit is to be kept outside the engines too.
+    """
 
     engine: EngineView
     first_token_s: float
     prefill_s: float
+    source: Hashable | None = None
+    save: bool = False
 
 
 @dataclass
@@ -122,10 +133,21 @@
         engines: Sequence[EngineView],
         now: float,
         rng: random.Random,
+        versions: Mapping[Hashable, int] | None = None,
     ) -> Placement | None:
-        """Return the engine with the least cost, or None if none has room."""
+        """Return the engine with the least cost, or None if none has room.
+
+        `versions` tells the weights of engines that may hold prefixes, if
+        these are not just those that may take the request.
+        """
         unit = request.unit
-        homes = self.homes.engines(unit, now)
+        if versions is None:
+            versions = {view.key: view.version for view in engines}
+        homes = {
+            key: (versions[key], used_at)
+            for key, used_at in self.homes.engines(unit, now).items()
+            if key in versions
+        }
         ranked = sorted(engines, key=lambda view: _score(unit, view.name))
         best = None
         least = 0.0
@@ -144,6 +166,8 @@
         engine.own[request.request_id] = (tokens, now + placement.first_token_s)
         engine.own_tokens += tokens
         self.homes.placed(request, placement.engine.key, now)
+        if placement.save:
+            self.homes.saved(request, now)
 
     def first_token(self, request_id: str, key: Hashable, now: float) -> None:
         """Learn how far an engine lags behind what was expected of it."""
@@ -240,8 +264,12 @@
             return 0.0, None
         kept = self.homes.kept(request, view.key, homes, now)
         lacking = request.shared_tokens - kept
+        source = _source(view, homes) if lacking else None
+        fetch_s = reread_s = lacking / PREFILL_TOKENS_PER_S
+        if source is not None and view.fetch_tokens_per_s:
+            fetch_s = min(reread_s, lacking / view.fetch_tokens_per_s)
         own = request.prompt_tokens - request.shared_tokens
-        prefill_s = (own + lacking) / PREFILL_TOKENS_PER_S
+        prefill_s = own / PREFILL_TOKENS_PER_S + fetch_s
         wait_s = max(0.0, engine.busy_until - now)
         if running >= view.slots:
             wait_s += SLOT_WAIT_S * (1 + (running - view.slots) / view.slots)
@@ -250,11 +278,23 @@
         cost = first_s + view.cost_s + rank * RANK_COST_S
         if view.key not in homes:
             cost += view.new_unit_cost_s
-        if homes:
+        if source is not None:
             # Another engine holds these parts; else they must be read anyway.
-            cost += (REREAD_WEIGHT - 1) * lacking / PREFILL_TOKENS_PER_S
+            moved = fetch_s < reread_s
+            cost += (COPY_WEIGHT if moved else REREAD_WEIGHT) * reread_s
         cost += FULL_BATCH_COST_S * running / view.slots
-        return cost, Placement(view, first_s, prefill_s)
+        save = self.homes.unsaved(request, now)
+        return cost, Placement(view, first_s, prefill_s, source, save)
+
+
+def _source(view, homes):
+    """Return the engine that has held a unit last, under the same weights."""
+    held = [
+        (used_at, key)
+        for key, (version, used_at) in homes.items()
+        if version == view.version and key != view.key
+    ]
+    return max(held)[1] if held else None
 
 
 def _score(prefix, name):
--- a/src/cassiaford/gateway/policy/_roll_out.py
+++ b/src/cassiaford/gateway/policy/_roll_out.py
@@ -19,8 +19,9 @@
 HOLD_S = 0.15
 # An order without effect is given again after this time.
 REORDER_S = 2.5
-# In the last part of the time for a version, all engines load at once.
-URGENT_SHARE = 0.55
+# In the last part of the time for a version, more engines load at once.
+URGENT_SHARE = 0.65
+URGENT_FACTOR = 2
 
 
 class _Step(enum.Enum):
@@ -122,7 +123,8 @@
             self.turns[server.key] = _Turn(_Step.HELD, now)
 
     def _at_once(self, server, count, now):
+        usual = max(1, math.ceil(count * AT_ONCE_SHARE))
         behind_s = self.named.behind_for(server.model, server.version, now)
         if behind_s > self.within_s * URGENT_SHARE:
-            return count
-        return max(1, math.ceil(count * AT_ONCE_SHARE))
+            return URGENT_FACTOR * usual
+        return usual
--- a/src/cassiaford/gateway/policy/_unit_homes.py
+++ b/src/cassiaford/gateway/policy/_unit_homes.py
@@ -1,7 +1,7 @@
 """Which engines hold which units of placement, as the fleet has told."""
 
 import collections
-from collections.abc import Hashable
+from collections.abc import Hashable, Mapping
 
 import xxhash
 
@@ -11,6 +11,9 @@
 KNOWN_FOR_S = 10.0
 # A unit still in use is told to peers again after this time.
 TELL_AGAIN_S = 4.0
+# A unit still in use is saved again after this time, before the store that
+# keeps prefixes for engines drops it.
+SAVE_AGAIN_S = 8.0
 # Units remembered; those used longest ago are forgotten first.
 MOST_UNITS = 8192
 
@@ -33,15 +36,31 @@
         )
         self.first_levels: dict[tuple[bytes, Hashable], float] = {}
         self.told_at: dict[tuple[int, Hashable], float] = {}
+        self.saved_at: dict[int, float] = {}
         self.to_tell: list[tuple[int, Hashable]] = []
 
-    def engines(self, unit: bytes, now: float) -> set[Hashable]:
-        """Return the engines that hold a unit."""
+    def engines(self, unit: bytes, now: float) -> dict[Hashable, float]:
+        """Return the engines that hold a unit, and when each was last used."""
         known = self.units.get(_digest(unit), {})
-        return {key for key, used_at in known.items() if now - used_at < KNOWN_FOR_S}
+        return {key: at for key, at in known.items() if now - at < KNOWN_FOR_S}
+
+    def unsaved(self, request: Generation, now: float) -> bool:
+        """Return whether a unit is to be kept outside the engines with this request.
+
+        The whole prompt is kept, so one whose own part is long would push out
+        more than it adds.
+        """
+        if not request.levels or request.prompt_tokens > 2 * request.shared_tokens:
+            return False
+        saved_at = self.saved_at.get(_digest(request.unit), -SAVE_AGAIN_S)
+        return now - saved_at >= SAVE_AGAIN_S
 
     def kept(
-        self, request: Generation, key: Hashable, homes: set[Hashable], now: float
+        self,
+        request: Generation,
+        key: Hashable,
+        homes: Mapping[Hashable, object],
+        now: float,
     ) -> int:
         """Return the shared tokens that an engine is taken to hold."""
         if key in homes:
@@ -64,6 +83,10 @@
             self.told_at[unit, key] = now
             self.to_tell.append((unit, key))
 
+    def saved(self, request: Generation, now: float) -> None:
+        """Take note that a request's prompt is being saved."""
+        self.saved_at[_digest(request.unit)] = now
+
     def hear(self, placements: list[tuple[int, Hashable]], now: float) -> None:
         """Take in what a peer has placed."""
         for unit, key in placements:
@@ -88,6 +111,7 @@
         self.units.move_to_end(unit)
         while len(self.units) > MOST_UNITS:
             gone, engines = self.units.popitem(last=False)
+            self.saved_at.pop(gone, None)
             for engine in engines:
                 self.told_at.pop((gone, engine), None)
 
--- a/src/cassiaford/platform/_dialect.py
+++ b/src/cassiaford/platform/_dialect.py
@@ -81,6 +81,10 @@
             headers.append(("X-Request-Urgency", str(urgency)))
         if facts.expected_version is not None:
             headers.append(("X-Expect-Version", str(facts.expected_version)))
+        if facts.fetch_from is not None:
+            headers.append(("X-Kv-Fetch", facts.fetch_from))
+        if facts.save_to is not None:
+            headers.append(("X-Kv-Save", facts.save_to))
         if facts.resume_after is not None:
             headers.append(("Last-Event-Id", facts.resume_after))
         return headers
@@ -95,6 +99,7 @@
             # A 421 is itself the statement that the request has not run.
             not_run="x-not-executed" in fields or misdirected,
             misdirected=misdirected,
+            server_id=fields.get("x-instance-id"),
             load=_load(fields.get("x-server-load")),
         )
 
--- a/src/cassiaford/platform/_records.py
+++ b/src/cassiaford/platform/_records.py
@@ -7,6 +7,7 @@
     Customer,
     EngineSpec,
     MalformedError,
+    PrefixStore,
     Records,
     RequestKind,
     Route,
@@ -56,6 +57,13 @@
             customers=customers,
             customers_by_key=customers_by_key,
             limits=_limits(document.get("Limits") or {}),
+            prefix_stores=tuple(
+                PrefixStore(
+                    text(entry, "KvStoreAddr"), text(entry, "Zone"), _bytes_per_s(entry)
+                )
+                for entry in objects(document, "Services")
+                if entry.get("KvStoreAddr")
+            ),
         )
 
     def named_version(self, value: bytes) -> tuple[str, int]:
@@ -134,11 +142,17 @@
         spec = EngineSpec(
             slots=whole(engine, "Slots", 1),
             cache_tokens=whole(engine, "KvCapacityTokens", 0),
+            token_bytes=number(engine, "KvTokenBytes", 0),
+            link_bytes_per_s=_bytes_per_s(engine),
             models=tuple(text(m, "Name") for m in objects(engine, "Models")),
         )
     return Service(text(entry, "Name"), whole(entry, "MaxConnections", 0), spec)
 
 
+def _bytes_per_s(entry):
+    return number(entry, "LinkMbps", 0) * 1e6 / 8
+
+
 def _customer(entry):
     priority = entry.get("Priority")
     in_tokens = entry.get("Unit") == "tokens"
