--- a/src/cassiaford/gateway/_beliefs.py
+++ b/src/cassiaford/gateway/_beliefs.py
@@ -82,6 +82,7 @@
         facts: RequestFacts,
         customer: Customer | None,
         tried: set[int],
+        target_s: float,
         now: float,
     ) -> Choice | None:
         """Return the best usable backend server of a service, or None."""
@@ -91,7 +92,7 @@
             if key not in tried and not self.trust.away(key, now)
         }
         if facts.is_generation:
-            return self._choose_engine(servers, facts, customer, now)
+            return self._choose_engine(servers, facts, customer, target_s, now)
         plain = [
             PlainServer(
                 key,
@@ -137,7 +138,7 @@
         servers = self.view.servers.get(service, {})
         return min((self.trust.back_in(key, now) for key in servers), default=1.0)
 
-    def _choose_engine(self, servers, facts, customer, now):
+    def _choose_engine(self, servers, facts, customer, target_s, now):
         spec = _engine_spec(self.view.configuration, servers)
         free = {key: s for key, s in servers.items() if key not in self.held}
         views = [
@@ -154,7 +155,7 @@
             for key, server in (free or servers).items()
             if not self._weights_overdue(server, facts, now)
         ]
-        request = self._generation(facts, customer)
+        request = self._generation(facts, customer, target_s)
         versions = {key: s.versions.get(facts.model, 0) for key, s in servers.items()}
         placement = self.engines.place(request, views, now, self.rng, versions)
         if placement is None:
@@ -203,7 +204,7 @@
             return 0.0
         return self.view.named.behind_for(facts.model, version, now)
 
-    def _generation(self, facts, customer):
+    def _generation(self, facts, customer, target_s=0.0):
         scope = customer.name if customer is not None and customer.isolated else ""
         key = f"{facts.model}|{scope}"
         levels = []
@@ -217,6 +218,7 @@
             levels=tuple(levels),
             prompt_tokens=facts.prompt_tokens,
             output_tokens=facts.output_tokens,
+            target_s=target_s,
         )
 
 
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -129,7 +129,10 @@
     def _choose(self, now):
         job = self.job
         placer = self.parts.placer
-        choice = placer.choose(job.service, job.facts, job.customer, job.tried, now)
+        target_s = job.route.target_latency_s
+        choice = placer.choose(
+            job.service, job.facts, job.customer, job.tried, target_s, now
+        )
         if choice is not None and now + choice.first_token_s > job.ends_at:
             return None
         return choice
--- a/src/cassiaford/gateway/policy/_engine_book.py
+++ b/src/cassiaford/gateway/policy/_engine_book.py
@@ -18,8 +18,20 @@
 from cassiaford.gateway.policy._generation import Generation
 from cassiaford.gateway.policy._unit_homes import UnitHomes
 
-# Prompt tokens that an engine is taken to read in a second until it is known.
-PREFILL_TOKENS_PER_S = 100_000.0
+# Prompt tokens that an engine is taken to read in a second until it is known,
+# and the bounds of what is learned.
+PREFILL_TOKENS_PER_S = 70_000.0
+SLOWEST_PREFILL = 15_000.0
+FASTEST_PREFILL = 500_000.0
+# How far one first token changes the speed, and the expected time from which
+# it says something of it.
+LEARNING_RATE = 0.06
+LEAST_TELLING_S = 0.02
+MOST_SURPRISE = 4.0
+# An answer is likely to be late if it is expected after this share of its
+# target; each second beyond weighs this much.
+ON_TIME_SHARE = 0.6
+LATE_WEIGHT = 2.0
 # From sending to the first token of a prompt that is cached, on an idle engine.
 FIRST_TOKEN_S = 0.07
 # Reading shared parts again takes engine time and memory from all later
@@ -94,7 +106,8 @@
     busy_until: float = 0.0
     lag_s: float = 0.0
     placed_s: float = 0.0
-    own: dict[str, tuple[int, float]] = field(default_factory=dict)
+    # By request: its tokens, when it was sent, and when it was to begin.
+    own: dict[str, tuple[int, float, float]] = field(default_factory=dict)
     own_tokens: int = 0
     peers: dict[str, PlacedWork] = field(default_factory=dict)
 
@@ -126,6 +139,7 @@
     def __init__(self):
         self.engines: dict[Hashable, _Engine] = {}
         self.homes = UnitHomes()
+        self.prefill_tokens_per_s = PREFILL_TOKENS_PER_S
 
     def place(
         self,
@@ -163,7 +177,8 @@
         engine.busy_until = max(now, engine.busy_until) + placement.prefill_s
         engine.placed_s += placement.prefill_s
         tokens = request.prompt_tokens + request.output_tokens
-        engine.own[request.request_id] = (tokens, now + placement.first_token_s)
+        first_s = placement.first_token_s - max(0.0, engine.lag_s)
+        engine.own[request.request_id] = (tokens, now, first_s)
         engine.own_tokens += tokens
         self.homes.placed(request, placement.engine.key, now)
         if placement.save:
@@ -174,7 +189,9 @@
         engine = self.engines.get(key)
         if engine is None or request_id not in engine.own:
             return
-        lag = now - engine.own[request_id][1]
+        sent_at, first_s = engine.own[request_id][1:]
+        lag = now - sent_at - first_s
+        self._learn(now - sent_at, first_s)
         engine.lag_s += LAG_WEIGHT * (min(lag, MAX_LAG_S) - engine.lag_s)
         if lag < 0:
             engine.busy_until = max(now, engine.busy_until + lag)
@@ -183,8 +200,8 @@
         """Take note that a request has ended."""
         engine = self.engines.get(key)
         if engine is not None:
-            tokens, _ = engine.own.pop(request_id, (0, 0.0))
-            engine.own_tokens -= tokens
+            running = engine.own.pop(request_id, None)
+            engine.own_tokens -= running[0] if running is not None else 0
 
     def turned_away(self, request_id: str, placement: Placement) -> None:
         """Take back the work of a request that an engine did not start."""
@@ -241,6 +258,16 @@
         engine = self.engines.get(key)
         return engine.tokens if engine is not None else 0
 
+    def _learn(self, took_s, expected_s):
+        """Move the speed towards what a first token says of it."""
+        expected = expected_s - FIRST_TOKEN_S
+        if expected < LEAST_TELLING_S:
+            return
+        surprise = max(took_s - FIRST_TOKEN_S, 0.0) / expected
+        surprise = min(max(surprise, 1 / MOST_SURPRISE), MOST_SURPRISE)
+        speed = self.prefill_tokens_per_s * surprise**-LEARNING_RATE
+        self.prefill_tokens_per_s = min(max(speed, SLOWEST_PREFILL), FASTEST_PREFILL)
+
     def _engine(self, key):
         engine = self.engines.get(key)
         if engine is None:
@@ -265,17 +292,20 @@
         kept = self.homes.kept(request, view.key, homes, now)
         lacking = request.shared_tokens - kept
         source = _source(view, homes) if lacking else None
-        fetch_s = reread_s = lacking / PREFILL_TOKENS_PER_S
+        fetch_s = reread_s = lacking / self.prefill_tokens_per_s
         if source is not None and view.fetch_tokens_per_s:
             fetch_s = min(reread_s, lacking / view.fetch_tokens_per_s)
         own = request.prompt_tokens - request.shared_tokens
-        prefill_s = own / PREFILL_TOKENS_PER_S + fetch_s
+        prefill_s = own / self.prefill_tokens_per_s + fetch_s
         wait_s = max(0.0, engine.busy_until - now)
         if running >= view.slots:
             wait_s += SLOT_WAIT_S * (1 + (running - view.slots) / view.slots)
         lag_s = max(0.0, engine.lag_s)
         first_s = FIRST_TOKEN_S + wait_s + prefill_s + lag_s
         cost = first_s + view.cost_s + rank * RANK_COST_S
+        if request.target_s:
+            late_s = first_s - ON_TIME_SHARE * request.target_s
+            cost += LATE_WEIGHT * max(0.0, late_s)
         if view.key not in homes:
             cost += view.new_unit_cost_s
         if source is not None:
--- a/src/cassiaford/gateway/policy/_generation.py
+++ b/src/cassiaford/gateway/policy/_generation.py
@@ -19,13 +19,15 @@
     """A request as placement sees it.
 
     `levels` are its shared prefixes, from the shortest to the longest, within
-    the customers and weights that share them.
+    the customers and weights that share them. The answer should begin within
+    `target_s`.
     """
 
     request_id: str
     levels: tuple[Prefix, ...]
     prompt_tokens: int
     output_tokens: int
+    target_s: float = 0.0
 
     @property
     def shared_tokens(self) -> int:
