--- a/src/cassiaford/fleet/_rates.py
+++ b/src/cassiaford/fleet/_rates.py
@@ -23,7 +23,7 @@
 LEDGER_KEY = "rates/ledger"
 TICK_S = 0.05
 # The longest time that a charge waits for tokens from other instances.
-CHARGE_WAIT_S = 0.1
+CHARGE_WAIT_S = 0.3
 WATCH_TIMEOUT_S = 30.0
 RETRY_S = 0.5
 
--- a/src/cassiaford/policy/_share.py
+++ b/src/cassiaford/policy/_share.py
@@ -8,14 +8,16 @@
 from cassiaford.policy._owners import Holder
 from cassiaford.policy._share_messages import Ask, Grant, Returned, Send
 
-LOAN_S = 0.3
+LOAN_S = 0.6
 # The owner counts a loan this much longer, for clocks that run apart.
 LOAN_MARGIN_S = 0.05
 # A loan that was not drawn on for this long is returned.
 IDLE_LOAN_S = 0.05
+# A caller is told to come back after this time at least.
+LEAST_RETRY_S = 0.1
 # An owner that has not answered for this long is taken to have nothing.
-ANSWER_S = 0.1
-SILENT_RETRY_S = 0.5
+ANSWER_S = 0.3
+SILENT_RETRY_S = 0.7
 # What an owner said of its level is not doubted for this long.
 FRESH_S = 0.02
 # A borrower asks for its demand of this much time ahead.
@@ -238,7 +240,7 @@
         silent = sum(view.silent for view in self.others.values())
         reachable += self.part * (len(self.others) - silent)
         rate = self.limit.rate * max(MIN_REACHABLE, min(1.0, reachable))
-        return max(ANSWER_S, lacking / rate)
+        return max(LEAST_RETRY_S, lacking / rate)
 
     def _views_are_fresh(self, now):
         return all(
