--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -104,6 +104,7 @@
             ready=False,
         )
         self.connections: set[CallerConnection] = set()
+        self.other_connections: set[CallerConnection] = set()
         self.servers: list[asyncio.Server] = []
         self.stopping = asyncio.Event()
         self._create_decisions()
@@ -208,6 +209,20 @@
         self._tasks = [self.loop.create_task(self._keep_going(p)) for p in parts]
         await self.stopping.wait()
         await self._drain()
+        await self.close()
+
+    async def close(self) -> None:
+        """Stop every part and close every connection at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in self.servers:
+            server.close()
+        for connection in (*self.connections, *self.other_connections):
+            connection.abort()
+        if self.peers.transport is not None:
+            self.peers.transport.close()
+        self.world.pool.close()
 
     @property
     def ready(self) -> bool:
@@ -238,7 +253,7 @@
             self._copy_body,
             "application/octet-stream",
         )
-        other: set[CallerConnection] = set()
+        other = self.other_connections
         self.servers = [
             await listen(addresses.front, self.front, self.connections),
             await listen(addresses.readiness, probe, other),
--- a/src/cassiaford/gateway/_server_connection.py
+++ b/src/cassiaford/gateway/_server_connection.py
@@ -312,6 +312,11 @@
         for connection in self.idle.pop(address, ()):
             connection.close()
 
+    def close(self) -> None:
+        """Close every kept connection."""
+        for address in tuple(self.idle):
+            self.forget(address)
+
     def sweep(self) -> None:
         """Close the connections that were kept for long enough."""
         now = asyncio.get_running_loop().time()
--- a/src/cassiaford/gateway/policy/_fleet_rates.py
+++ b/src/cassiaford/gateway/policy/_fleet_rates.py
@@ -13,7 +13,7 @@
 SILENT_AFTER_S = 0.6
 # Of the burst, what an instance grants itself before it has heard of others'
 # spending: a fleet that restarts as a whole must not give out a second burst.
-START_LEVEL = 0.25
+START_LEVEL = 0.1
 
 # Requests of at most this share of the burst are refused only when the debt is
 # this share of the burst: a booking is worth more than the tokens it takes.
@@ -74,7 +74,7 @@
     --------
     >>> rates = FleetRates()
     >>> rates.configure({"academy": Limit(100.0, 400.0)}, now=0.0)
-    >>> rates.charge("academy", 160, 0.0), rates.charge("academy", 60, 0.0)
+    >>> rates.charge("academy", 100, 0.0), rates.charge("academy", 60, 0.0)
     (True, False)
     >>> round(rates.return_after("academy", 60, 0.0), 2)
     0.6
--- a/src/cassiaford/platform/_start.py
+++ b/src/cassiaford/platform/_start.py
@@ -15,9 +15,8 @@
 from cassiaford.platform._store import PlatformStore
 
 
-def create_world(store_address: str) -> GatewayWorld:
+def create_world(store_address: str, pool: ConnectionPool) -> GatewayWorld:
     """Return what a gateway on the platform is given."""
-    pool = ConnectionPool()
     caller = HttpCaller(pool)
     return GatewayWorld(
         dialect=PlatformDialect(),
@@ -33,7 +32,8 @@
 async def serve(path: pathlib.Path) -> None:
     """Serve with the settings of a file until SIGTERM."""
     settings = read_settings(path)
-    await Gateway(settings, create_world(settings.store_address)).run()
+    world = create_world(settings.store_address, ConnectionPool())
+    await Gateway(settings, world).run()
 
 
 def main() -> None:
--- /dev/null
+++ b/tests/test_gateway_policy.py
@@ -0,0 +1,390 @@
+"""Tests of the gateway's decisions, each with the load that it answers."""
+
+import random
+import unittest
+
+from cassiaford.gateway import BackendServer
+from cassiaford.gateway.policy import (
+    EngineBook,
+    EngineView,
+    FleetRates,
+    Generation,
+    Limit,
+    NamedVersions,
+    PeerState,
+    PeerTable,
+    PlacedWork,
+    Prefix,
+    RollOut,
+    RollOutServer,
+    SendBudget,
+    ServerRegistry,
+    ServerTrust,
+)
+
+
+def generation(number, section, own=1000, target_s=0.6):
+    """Return a request about a section of the binder."""
+    levels = (Prefix(b"binder", 500), Prefix(b"section-%d" % section, 5000))
+    return Generation(f"r{number}", levels, 5000 + own, 40, target_s)
+
+
+def engine_views(count, **fields):
+    """Return engines that differ in nothing but their names."""
+    return [
+        EngineView(f"e{n}", f"e{n}", 32, 220_000, version=1, **fields)
+        for n in range(count)
+    ]
+
+
+class FleetRatesTest(unittest.TestCase):
+    def fleet(self, size, limit, now=0.0):
+        names = [f"entry-{n}" for n in range(size)]
+        fleet = {name: FleetRates() for name in names}
+        for name, rates in fleet.items():
+            rates.configure({"academy": limit}, now)
+            rates.set_members([n for n in names if n != name], now)
+        return fleet
+
+    def report(self, fleet, now, cut=()):
+        for name, rates in fleet.items():
+            for peer, other in fleet.items():
+                if peer != name and name not in cut and peer not in cut:
+                    other.hear(name, 1, rates.spent(), now)
+
+    def press(self, fleet, seconds, tokens, per_instance_s, report_s=0.1, cut=()):
+        """Have every instance asked far more than the rate; return what passed."""
+        spent = []
+        step_s = 0.01
+        for step in range(round(seconds / step_s)):
+            now = step * step_s
+            for rates in fleet.values():
+                for _ in range(round(per_instance_s * step_s)):
+                    if rates.charge("academy", tokens, now):
+                        spent.append((now, tokens))
+            if step % round(report_s / step_s) == 0:
+                self.report(fleet, now, cut)
+        return spent
+
+    def most_in_window(self, spent, window_s):
+        most = 0
+        for start, _ in spent[::20]:
+            within = sum(t for at, t in spent if start <= at < start + window_s)
+            most = max(most, within)
+        return most
+
+    def test_a_tenant_that_floods_gets_its_rate_over_all_instances(self):
+        limit = Limit(10_000.0, 20_000.0)
+        fleet = self.fleet(6, limit)
+        spent = self.press(fleet, 24.0, 500, 100)
+        most = self.most_in_window(spent, 8.0)
+        # The users' bound on a window: 10 % and a slack over rate and burst.
+        self.assertLessEqual(most, (limit.rate * 8 + limit.burst) * 1.1)
+        total = sum(tokens for _, tokens in spent)
+        self.assertGreaterEqual(total, 0.95 * limit.rate * 24)
+
+    def test_instances_that_cannot_hear_each_other_keep_the_limit_between_them(self):
+        limit = Limit(10_000.0, 20_000.0)
+        fleet = self.fleet(6, limit)
+        spent = self.press(fleet, 24.0, 500, 100, cut={"entry-1", "entry-4"})
+        most = self.most_in_window(spent, 8.0)
+        # Until a peer counts as silent, every instance may start with its level.
+        self.assertLessEqual(most, (limit.rate * 8 + limit.burst) * 1.1 + 30_000)
+
+    def test_a_large_request_has_the_chance_of_a_small_one(self):
+        rates = FleetRates()
+        rates.configure({"academy": Limit(1000.0, 4000.0)}, 0.0)
+        passed = {100: 0, 2000: 0}
+        asked = {100: 0, 2000: 0}
+        rng = random.Random(5)
+        for step in range(4000):
+            tokens = rng.choice((100, 2000))
+            asked[tokens] += 1
+            passed[tokens] += rates.charge("academy", tokens, step * 0.02)
+        share = {tokens: passed[tokens] / asked[tokens] for tokens in asked}
+        self.assertGreater(share[2000], 0.5 * share[100])
+
+    def test_bookings_pass_while_a_customer_is_over_its_rate(self):
+        rates = FleetRates()
+        rates.configure({"academy": Limit(10_000.0, 30_000.0)}, 0.0)
+        refused = 0
+        for step in range(3000):
+            now = step * 0.01
+            rates.charge("academy", 4000, now)
+            refused += step % 10 == 0 and not rates.charge("academy", 200, now)
+        self.assertLessEqual(refused, 0.02 * 300)
+
+    def test_refused_requests_are_told_to_return_one_after_the_other(self):
+        rates = FleetRates()
+        rates.configure({"academy": Limit(1000.0, 4000.0)}, 0.0)
+        while rates.charge("academy", 500, 0.0):
+            pass
+        returns = [rates.return_after("academy", 500, 0.0) for _ in range(4)]
+        self.assertEqual(returns, sorted(returns))
+        self.assertGreater(returns[3] - returns[0], 1.0)
+
+    def test_a_fleet_that_restarts_gives_out_no_second_burst(self):
+        limit = Limit(1000.0, 100_000.0)
+        fleet = self.fleet(6, limit)
+        spent = self.press(fleet, 0.1, 1000, 10_000, report_s=0.05)
+        self.assertLess(sum(tokens for _, tokens in spent), 2 * limit.burst)
+
+    def test_a_late_report_of_an_earlier_time_changes_nothing(self):
+        rates = FleetRates()
+        rates.configure({"academy": Limit(0.001, 2000.0)}, 0.0)
+        rates.set_members(["b"], 0.0)
+        rates.hear("b", 1, {"academy": 0}, 0.0)
+        rates.hear("b", 1, {"academy": 100}, 0.0)
+        rates.hear("b", 1, {"academy": 50}, 0.0)
+        self.assertAlmostEqual(rates.buckets["academy"].level, 100.0)
+
+
+class EngineBookTest(unittest.TestCase):
+    def test_instances_agree_on_the_home_of_a_section(self):
+        homes = set()
+        for seed in range(6):
+            book = EngineBook()
+            placement = book.place(
+                generation(1, 7), engine_views(9), 0.0, random.Random(seed)
+            )
+            homes.add(placement.engine.key)
+        self.assertEqual(len(homes), 1)
+
+    def test_a_section_stays_at_home_under_usual_load(self):
+        book = EngineBook()
+        rng = random.Random(3)
+        used = {}
+        for number in range(400):
+            now = number * 0.08
+            request = generation(number, number % 20)
+            placement = book.place(request, engine_views(9), now, rng)
+            book.started(request, placement, now)
+            book.first_token(request.request_id, placement.engine.key, now + 0.1)
+            book.ended(request.request_id, placement.engine.key)
+            used.setdefault(number % 20, set()).add(placement.engine.key)
+        self.assertEqual({len(engines) for engines in used.values()}, {1})
+
+    def test_a_hot_section_spreads_before_its_home_is_late(self):
+        book = EngineBook()
+        views = engine_views(9, fetch_tokens_per_s=250_000.0)
+        rng = random.Random(3)
+        engines = set()
+        for number in range(60):
+            request = generation(number, 1, own=8000)
+            placement = book.place(request, views, 0.0, rng)
+            book.started(request, placement, 0.0)
+            engines.add(placement.engine.key)
+        self.assertGreater(len(engines), 4)
+
+    def test_a_spilled_request_names_an_engine_that_holds_its_section(self):
+        book = EngineBook()
+        views = engine_views(3, fetch_tokens_per_s=250_000.0)
+        rng = random.Random(1)
+        first = book.place(generation(0, 1), views, 0.0, rng)
+        book.started(generation(0, 1), first, 0.0)
+        others = [view for view in views if view.key != first.engine.key]
+        versions = {view.key: 1 for view in views}
+        spilled = book.place(generation(1, 1), others, 0.1, rng, versions)
+        self.assertEqual(spilled.source, first.engine.key)
+
+    def test_no_prefix_is_fetched_from_an_engine_of_other_weights(self):
+        book = EngineBook()
+        views = engine_views(3, fetch_tokens_per_s=250_000.0)
+        rng = random.Random(1)
+        first = book.place(generation(0, 1), views, 0.0, rng)
+        book.started(generation(0, 1), first, 0.0)
+        others = [view for view in views if view.key != first.engine.key]
+        versions = {view.key: 1 for view in others} | {first.engine.key: 2}
+        spilled = book.place(generation(1, 1), others, 0.1, rng, versions)
+        self.assertIsNone(spilled.source)
+
+    def test_work_that_peers_placed_makes_an_engine_busy(self):
+        book = EngineBook()
+        views = engine_views(2)
+        rng = random.Random(1)
+        home = book.place(generation(0, 1), views, 0.0, rng).engine.key
+        book.hear("b", {home: PlacedWork(0.0, 0, 0)}, True, 0.0)
+        book.hear("b", {home: PlacedWork(3.0, 8, 90_000)}, False, 0.1)
+        moved = book.place(generation(1, 1), views, 0.1, rng).engine.key
+        self.assertNotEqual(moved, home)
+
+    def test_an_engine_without_memory_gets_no_request(self):
+        book = EngineBook()
+        view = EngineView("e", "e", 32, 20_000)
+        rng = random.Random(1)
+        for number in range(3):
+            request = generation(number, number)
+            placement = book.place(request, [view], 0.0, rng)
+            if placement is not None:
+                book.started(request, placement, 0.0)
+        self.assertIsNone(placement)
+
+    def test_new_weights_empty_an_engine(self):
+        book = EngineBook()
+        views = engine_views(3)
+        rng = random.Random(1)
+        request = generation(0, 1)
+        placement = book.place(request, views, 0.0, rng)
+        book.started(request, placement, 0.0)
+        book.emptied(placement.engine.key)
+        self.assertEqual(book.homes.engines(request.unit, 0.1), {})
+
+    def test_the_speed_of_engines_is_learned_from_first_tokens(self):
+        book = EngineBook()
+        views = engine_views(1)
+        rng = random.Random(1)
+        for number in range(200):
+            now = number * 2.0
+            request = generation(number, number, own=5000)
+            placement = book.place(request, views, now, rng)
+            book.started(request, placement, now)
+            took_s = 0.07 + 10_000 / 30_000
+            book.first_token(request.request_id, "e0", now + took_s)
+            book.ended(request.request_id, "e0")
+            book.emptied("e0")
+        self.assertAlmostEqual(book.prefill_tokens_per_s, 30_000, delta=3000)
+
+
+class RollOutTest(unittest.TestCase):
+    def engines(self, versions):
+        return [RollOutServer(k, "m", v, 0) for k, v in versions.items()]
+
+    def play(self, names, load_s, until_s):
+        """Play versions named at some times; return loads and each one's lag."""
+        named = NamedVersions()
+        roll_out = RollOut(named, within_s=6.0)
+        versions = {f"e{n}": 1 for n in range(9)}
+        loading, loads, lag = {}, [], 0.0
+        for step in range(round(until_s / 0.1)):
+            now = step * 0.1
+            for version, at in names.items():
+                if abs(at - now) < 0.05:
+                    named.name("m", version, now)
+            for key, (version, done_at) in tuple(loading.items()):
+                if now >= done_at:
+                    versions[key] = version
+                    del loading[key]
+            for order in roll_out.plan(self.engines(versions), now):
+                loading[order.key] = (order.version, now + load_s)
+                loads.append((now, order))
+            for version in versions.values():
+                lag = max(lag, named.behind_for("m", version, now))
+        return versions, loads, lag
+
+    def test_every_engine_has_a_version_in_time(self):
+        versions, loads, lag = self.play({2: 1.0}, load_s=0.6, until_s=8.0)
+        self.assertEqual(set(versions.values()), {2})
+        self.assertEqual(len(loads), 9)
+        self.assertLess(lag, 5.0)
+
+    def test_versions_in_quick_succession_all_come_in_time(self):
+        names = {2: 1.0, 3: 3.4, 4: 5.8, 5: 8.2}
+        versions, _, lag = self.play(names, load_s=0.5, until_s=16.0)
+        self.assertEqual(set(versions.values()), {5})
+        # No request may begin on weights replaced for over six seconds.
+        self.assertLess(lag, 5.0)
+
+    def test_a_version_overtaken_before_an_engine_s_turn_is_never_loaded(self):
+        names = {2: 1.0, 3: 2.0, 4: 3.0}
+        versions, loads, _ = self.play(names, load_s=1.0, until_s=16.0)
+        self.assertEqual(set(versions.values()), {4})
+        self.assertLess(len(loads), 27)
+
+    def test_only_a_third_of_the_engines_is_out_of_use(self):
+        named = NamedVersions()
+        roll_out = RollOut(named, within_s=6.0)
+        named.name("m", 2, 0.0)
+        roll_out.plan(self.engines({f"e{n}": 1 for n in range(9)}), 0.0)
+        self.assertEqual(len(roll_out.held), 3)
+
+    def test_an_order_without_effect_is_given_again(self):
+        named = NamedVersions()
+        roll_out = RollOut(named, within_s=6.0)
+        named.name("m", 2, 0.0)
+        engines = self.engines({"e": 1})
+        times = [t / 10 for t in range(60) if roll_out.plan(engines, t / 10)]
+        self.assertGreaterEqual(len(times), 2)
+
+
+class ServerTrustTest(unittest.TestCase):
+    def test_a_server_that_fails_part_of_its_requests_costs_more(self):
+        trust = ServerTrust()
+        for number in range(30):
+            now = number * 0.1
+            (trust.failed if number % 2 else trust.answered)("grey", now)
+            trust.answered("sound", now)
+        self.assertGreater(trust.cost_s("grey", 3.0), 0.3)
+        self.assertEqual(trust.cost_s("sound", 3.0), 0.0)
+
+    def test_backoff_grows_and_ends_with_an_answer(self):
+        trust = ServerTrust()
+        for _ in range(4):
+            trust.unreachable("dark", 0.0)
+        self.assertTrue(trust.away("dark", 2.0))
+        trust.answered("dark", 2.0)
+        self.assertFalse(trust.away("dark", 2.0))
+
+
+class SendBudgetTest(unittest.TestCase):
+    def test_the_fleet_stays_within_its_budget_when_all_requests_fail(self):
+        budgets = [SendBudget(0.2, 52.0, 10.0) for _ in range(6)]
+        resends, requests = [], []
+        for step in range(6000):
+            now = step * 0.005
+            budget = budgets[step % 6]
+            budget.request(now)
+            requests.append(now)
+            if budget.resend(now, instances=6):
+                resends.append(now)
+        for start in range(0, 20):
+            window = [t for t in resends if start <= t < start + 10]
+            asked = [t for t in requests if start <= t < start + 10]
+            self.assertLessEqual(len(window), 0.2 * len(asked) + 52)
+
+
+class ServerRegistryTest(unittest.TestCase):
+    def test_a_server_removed_while_the_store_is_steady_is_gone_at_once(self):
+        registry = ServerRegistry()
+        registry.put("servers/a", BackendServer("a", "s", "10.0.0.1:80", "x", 8))
+        registry.remove("servers/a", now=10.0)
+        self.assertEqual(registry.servers, {})
+
+    def test_an_entry_that_comes_back_after_an_outage_is_kept(self):
+        server = BackendServer("a", "s", "10.0.0.1:80", "x", 8)
+        registry = ServerRegistry()
+        registry.put("servers/a", server)
+        registry.store_returned(now=10.0)
+        registry.remove("servers/a", now=10.1)
+        registry.put("servers/a", server)
+        registry.expire(now=20.0)
+        self.assertEqual(list(registry.servers), ["servers/a"])
+
+
+class PeerTableTest(unittest.TestCase):
+    def peer(self, incarnation=1):
+        return PeerState("b", incarnation, "x", "10.0.0.2:80", "10.0.0.2:7600")
+
+    def test_a_peer_that_falls_silent_is_not_named_to_callers(self):
+        table = PeerTable()
+        table.register(self.peer(), 0.0)
+        table.hear(self.peer(), 0.0)
+        self.assertEqual(table.live(5.0), [])
+        self.assertEqual(table.expected(), ["b"])
+
+    def test_a_report_of_an_earlier_start_is_passed_over(self):
+        table = PeerTable()
+        table.hear(self.peer(2), 0.0)
+        table.hear(self.peer(1), 5.0)
+        self.assertEqual(table.live(5.0), [])
+
+    def test_a_peer_heard_is_live_while_the_store_forgets_it(self):
+        table = PeerTable()
+        table.register(self.peer(), 0.0)
+        table.unregister("b")
+        table.hear(self.peer(), 9.0)
+        self.assertEqual(table.expire(10.0), [])
+        self.assertEqual(len(table.live(10.0)), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
