--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -18,6 +18,7 @@
 from cassiaford.gateway._dialect import Dialect
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._messages import Forwarding, HttpRequest, RequestFacts
+from cassiaford.gateway._prober import ServerProber
 from cassiaford.gateway._server_connection import ConnectionPool, ExchangeError
 from cassiaford.gateway.policy import SendBudget, ServerTrust
 from cassiaford.logs import Event
@@ -84,6 +85,7 @@
     dialect: Dialect
     placer: Placer
     trust: ServerTrust
+    prober: ServerProber
     pool: ConnectionPool
     budgets: dict[str, SendBudget]
     log: EventLog
@@ -251,16 +253,14 @@
         if error.failure is Failure.NOT_STARTED:
             self.parts.placer.turned_away(choice, job.facts, now)
         elif not attempt.sent:
-            self.parts.trust.unreachable(choice.key, now)
-            self.parts.pool.forget(choice.server.address)
+            self.parts.prober.lost(choice.server)
         else:
             if not attempt.answered:
                 job.runs += 1
             job.verdict = Verdict.MAY_HAVE_RUN
+            self.parts.trust.failed(choice.key, now)
             if error.failure is Failure.RESET_BEFORE_ANSWER:
-                self.parts.trust.unreachable(choice.key, now)
-            else:
-                self.parts.trust.failed(choice.key, now)
+                self.parts.prober.lost(choice.server)
         return _Sent.AGAIN
 
     def _stall_s(self):
--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -12,6 +12,7 @@
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._exchange import Exchange, ExchangeParts, Job
 from cassiaford.gateway._messages import HttpRequest
+from cassiaford.gateway._prober import ServerProber
 from cassiaford.gateway._server_connection import ConnectionPool
 from cassiaford.gateway._settings import ResendLimits
 from cassiaford.gateway._view import View
@@ -36,6 +37,7 @@
         view: View,
         placer: Placer,
         trust: ServerTrust,
+        prober: ServerProber,
         pool: ConnectionPool,
         rates: FleetRates,
         resends: ResendLimits,
@@ -50,7 +52,7 @@
         self.log = log
         self.metrics = metrics
         self.rng = rng
-        self.parts = ExchangeParts(dialect, placer, trust, pool, {}, log, rng)
+        self.parts = ExchangeParts(dialect, placer, trust, prober, pool, {}, log, rng)
         self.instances: Callable[[], int] = lambda: 1
         self.leaving = False
         self.refusing = False
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -22,6 +22,7 @@
     encode_snapshot,
 )
 from cassiaford.gateway._peers import PeerReports
+from cassiaford.gateway._prober import ServerProber
 from cassiaford.gateway._registration import Registration, decode_entry
 from cassiaford.gateway._server_connection import ConnectionPool
 from cassiaford.gateway._settings import GatewaySettings
@@ -85,14 +86,23 @@
 
 
 class Gateway:
-    """Serves callers until it is told to stop."""
+    """Serves callers until it is told to stop.
 
-    def __init__(self, settings: GatewaySettings, world: GatewayWorld):
+    Choices between equals are drawn from `rng`; no two instances should draw
+    alike.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        world: GatewayWorld,
+        rng: random.Random | None = None,
+    ):
         self.settings = settings
         self.world = world
         self.loop = asyncio.get_running_loop()
         incarnation = time.time_ns() // 1_000_000
-        self.rng = random.Random(f"{settings.instance}-{incarnation}")
+        self.rng = rng or random.Random(f"{settings.instance}-{incarnation}")
         self.log = EventLog(settings.instance, incarnation)
         self.metrics = Metrics()
         self.state = PeerState(
@@ -153,6 +163,7 @@
             log=self.log,
         )
         self.orderer.tokens = self.engines.tokens
+        self.orderer.demand = self.engines.demand
 
     def _create_peers(self):
         self.peers = PeerReports(
@@ -163,6 +174,8 @@
             self.rates,
             self.log,
         )
+        self.prober = ServerProber(self.view, self.trust, self.world.pool, self.log)
+        self.peers.on_unreachable = self.prober.heard
         self.peers.revision = lambda: self.mirror.revision
         self.peers.on_newer = self._peer_is_newer
 
@@ -183,6 +196,7 @@
             view=self.view,
             placer=self.placer,
             trust=self.trust,
+            prober=self.prober,
             pool=self.world.pool,
             rates=self.rates,
             resends=settings.resends,
@@ -318,6 +332,7 @@
             self.view.configuration.customers if self.view.configuration else ()
         )
         self.peers.held = self.orderer.held
+        self.peers.unreachable = self.prober.unreachable
         self.placer.held = self.peers.all_held()
 
     def _forget_peer(self, name):
--- a/src/cassiaford/gateway/_orders.py
+++ b/src/cassiaford/gateway/_orders.py
@@ -74,6 +74,7 @@
         self.taken = False
         self.stopping = False
         self.tokens = lambda key: 0
+        self.demand = lambda now: 0.0
         self._orders: dict[int, asyncio.Task] = {}
         self._now = asyncio.get_running_loop().time
 
@@ -180,7 +181,8 @@
             self.valid_until = asked_at + LEASE_S - LEASE_MARGIN_S
 
     def _give_due_orders(self):
-        for order in self.roll_out.plan(self._servers(), self._now()):
+        now = self._now()
+        for order in self.roll_out.plan(self._servers(), now, self.demand(now)):
             known = self._orders.get(order.key)
             if known is None or known.done():
                 task = asyncio.create_task(self._order(order))
--- a/src/cassiaford/gateway/_peer_codec.py
+++ b/src/cassiaford/gateway/_peer_codec.py
@@ -21,8 +21,8 @@
 class Report:
     """What an instance tells its peers several times a second.
 
-    `work` and `held` name backend servers by digest, `spending` customers, and
-    `placements` units of placement and engines; `whole` is false if only
+    `work`, `held` and `unreachable` name backend servers by digest, `spending`
+    customers, and `placements` units of placement and engines; `whole` is false if only
     changes are named.
     """
 
@@ -33,6 +33,7 @@
     work: dict[int, PlacedWork] = field(default_factory=dict)
     spending: dict[int, int] = field(default_factory=dict)
     held: frozenset[int] = frozenset()
+    unreachable: frozenset[int] = frozenset()
     placements: tuple[tuple[int, int], ...] = ()
 
 
@@ -50,6 +51,7 @@
         revision=report.revision,
         sequence=report.sequence,
         held=sorted(report.held),
+        unreachable=sorted(report.unreachable),
         placements=[
             {"unit": unit, "server": server} for unit, server in report.placements
         ],
@@ -91,6 +93,7 @@
             },
             spending={s.customer: s.tokens for s in message.spending},
             held=frozenset(message.held),
+            unreachable=frozenset(message.unreachable),
             placements=tuple((p.unit, p.server) for p in message.placements),
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
--- a/src/cassiaford/gateway/_peers.py
+++ b/src/cassiaford/gateway/_peers.py
@@ -50,6 +50,8 @@
         self.rates = rates
         self.log = log
         self.held: frozenset[int] = frozenset()
+        self.unreachable: frozenset[int] = frozenset()
+        self.on_unreachable: Callable[[frozenset[int]], None] = lambda keys: None
         self.revision = lambda: 0
         self.on_newer: Callable[[PeerState, int], None] = lambda peer, revision: None
         self.peers_held: dict[str, frozenset[int]] = {}
@@ -101,7 +103,12 @@
         work = self._work()
         spending = {digest(n): round(t) for n, t in self.rates.spent().items()}
         placements = tuple(self.engines.homes.take_to_tell())
-        now_told = {"work": work, "spending": spending, "held": self.held}
+        now_told = {
+            "work": work,
+            "spending": spending,
+            "held": self.held,
+            "unreachable": self.unreachable,
+        }
         same = now_told == self._told and not placements
         if not whole and same and self._left_out < MOST_LEFT_OUT:
             self._left_out += 1
@@ -119,6 +126,7 @@
             work=work,
             spending=spending,
             held=self.held,
+            unreachable=self.unreachable,
             placements=placements,
         )
         data = encode_report(report)
@@ -160,6 +168,7 @@
         }
         self.rates.hear(name, report.sender.incarnation, spent, now)
         self.peers_held[name] = report.held
+        self.on_unreachable(report.unreachable)
         if report.revision > self.revision():
             self.on_newer(report.sender, report.revision)
 
--- a/src/cassiaford/gateway/_server_connection.py
+++ b/src/cassiaford/gateway/_server_connection.py
@@ -307,6 +307,11 @@
         if connection.finish():
             self.idle.setdefault(address, []).append(connection)
 
+    def add(self, address: str, connection: ServerConnection) -> None:
+        """Keep a new connection for the next exchange."""
+        connection.idle_until = asyncio.get_running_loop().time() + DEFAULT_IDLE_S
+        self.idle.setdefault(address, []).append(connection)
+
     def forget(self, address: str) -> None:
         """Close the kept connections to an address."""
         for connection in self.idle.pop(address, ()):
--- a/src/cassiaford/gateway/peers.capnp
+++ b/src/cassiaford/gateway/peers.capnp
@@ -34,6 +34,7 @@
   placements @10 :List(UnitPlacement);
   revision @11 :UInt64;     # of the sender's copy of the store
   sequence @12 :UInt32;
+  unreachable @13 :List(UInt32);
 }
 
 # An instance's copy of a part of the store, for a peer that the store rejects.
--- a/src/cassiaford/gateway/policy/_engine_book.py
+++ b/src/cassiaford/gateway/policy/_engine_book.py
@@ -9,6 +9,7 @@
 busy is seen to be busy by all before it turns requests away.
 """
 
+import math
 import random
 from collections.abc import Hashable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -39,6 +40,8 @@
 REREAD_WEIGHT = 12.0
 # A copy from another engine takes a little time and memory that evicts others.
 COPY_WEIGHT = 1.0
+# The demand for engines is taken over about this time.
+DEMAND_S = 2.0
 # With all slots taken, a request waits for one to end.
 SLOT_WAIT_S = 0.05
 # Decoding slows as the batch fills.
@@ -140,6 +143,8 @@
         self.engines: dict[Hashable, _Engine] = {}
         self.homes = UnitHomes()
         self.prefill_tokens_per_s = PREFILL_TOKENS_PER_S
+        self._recent_work_s = 0.0
+        self._recent_at = 0.0
 
     def place(
         self,
@@ -176,6 +181,7 @@
         engine = self._engine(placement.engine.key)
         engine.busy_until = max(now, engine.busy_until) + placement.prefill_s
         engine.placed_s += placement.prefill_s
+        self._note_work(placement.prefill_s, now)
         tokens = request.prompt_tokens + request.output_tokens
         first_s = placement.first_token_s - max(0.0, engine.lag_s)
         engine.own[request.request_id] = (tokens, now, first_s)
@@ -222,6 +228,7 @@
             if before is not None and placed.prefill_s > before.prefill_s:
                 added = placed.prefill_s - before.prefill_s
                 engine.busy_until = max(now, engine.busy_until) + added
+                self._note_work(added, now)
         if whole:
             for key, engine in self.engines.items():
                 if key not in work:
@@ -258,6 +265,16 @@
         engine = self.engines.get(key)
         return engine.tokens if engine is not None else 0
 
+    def demand(self, now: float) -> float:
+        """Return how many engines the fleet's recent prompts keep busy."""
+        age = max(0.0, now - self._recent_at)
+        return self._recent_work_s * math.exp(-age / DEMAND_S) / DEMAND_S
+
+    def _note_work(self, work_s, now):
+        age = max(0.0, now - self._recent_at)
+        self._recent_work_s = self._recent_work_s * math.exp(-age / DEMAND_S) + work_s
+        self._recent_at = now
+
     def _learn(self, took_s, expected_s):
         """Move the speed towards what a first token says of it."""
         expected = expected_s - FIRST_TOKEN_S
--- a/src/cassiaford/gateway/policy/_roll_out.py
+++ b/src/cassiaford/gateway/policy/_roll_out.py
@@ -15,6 +15,8 @@
 
 # Weights load more slowly when more than about a third load at once.
 AT_ONCE_SHARE = 1 / 3
+# The engines that are left must not be busier than this with prompts.
+MOST_BUSY = 0.6
 # Until every instance has heard that an engine is taken out of use.
 HOLD_S = 0.15
 # An order without effect is given again after this time.
@@ -78,6 +80,7 @@
         self.named = named
         self.within_s = within_s
         self.turns: dict[Hashable, _Turn] = {}
+        self.demand = 0.0
 
     @property
     def held(self) -> set[Hashable]:
@@ -88,9 +91,15 @@
         """Return the engines whose version is not the newest."""
         return [s for s in servers if s.version < self.named.newest(s.model)]
 
-    def plan(self, servers: Iterable[RollOutServer], now: float) -> list[GiveOrder]:
-        """Return the orders that are due, and choose the engines in turn."""
+    def plan(
+        self, servers: Iterable[RollOutServer], now: float, demand: float = 0.0
+    ) -> list[GiveOrder]:
+        """Return the orders that are due, and choose the engines in turn.
+
+        `demand` is the number of engines that the prompts keep busy.
+        """
         servers = list(servers)
+        self.demand = demand
         behind = {s.key: s for s in self.behind(servers)}
         for key in set(self.turns) - set(behind):
             del self.turns[key]
@@ -123,7 +132,8 @@
             self.turns[server.key] = _Turn(_Step.HELD, now)
 
     def _at_once(self, server, count, now):
-        usual = max(1, math.ceil(count * AT_ONCE_SHARE))
+        spare = count - math.ceil(self.demand / MOST_BUSY)
+        usual = max(1, min(spare, math.ceil(count * AT_ONCE_SHARE)))
         behind_s = self.named.behind_for(server.model, server.version, now)
         if behind_s > self.within_s * URGENT_SHARE:
             return URGENT_FACTOR * usual
--- a/src/cassiaford/gateway/policy/_server_trust.py
+++ b/src/cassiaford/gateway/policy/_server_trust.py
@@ -7,6 +7,8 @@
 # twice as long after each further one.
 FIRST_BACKOFF_S = 0.4
 MAX_BACKOFF_S = 4.0
+# A peer's word that a server is gone is older than this.
+ANSWERED_LATELY_S = 0.2
 # A server that turns a request away gets no other one for this long.
 SHED_HOLD_S = 0.15
 MAX_SHED_HOLD_S = 1.2
@@ -25,6 +27,7 @@
     away_until: float = 0.0
     failing: float = 0.0
     updated_at: float = 0.0
+    answered_at: float | None = None
 
 
 class ServerTrust:
@@ -40,19 +43,35 @@
 
     def __init__(self):
         self.records: dict[Hashable, _Record] = {}
+        self.unreachable_servers: set[Hashable] = set()
 
     def answered(self, server: Hashable, now: float) -> None:
         """Take note of a complete answer."""
+        record = self._record(server, now)
+        record.answered_at = now
+        self.reachable(server)
+        self._count(record, 0.0, now)
+
+    def reachable(self, server: Hashable) -> None:
+        """Take note that a server can be reached again."""
+        self.unreachable_servers.discard(server)
         record = self.records.get(server)
         if record is not None:
             record.failures = 0
             record.sheds = 0
             record.away_until = 0.0
-            self._count(record, 0.0, now)
+
+    def answered_lately(self, server: Hashable, now: float) -> bool:
+        """Return whether a server's answer is newer than a peer's doubt."""
+        record = self.records.get(server)
+        if record is None or record.answered_at is None:
+            return False
+        return now - record.answered_at < ANSWERED_LATELY_S
 
     def unreachable(self, server: Hashable, now: float) -> None:
         """Take note of a connection that failed or fell silent."""
         record = self._record(server, now)
+        self.unreachable_servers.add(server)
         backoff = FIRST_BACKOFF_S * 2 ** min(record.failures, 8)
         record.failures += 1
         record.away_until = now + min(backoff, MAX_BACKOFF_S)
@@ -92,6 +111,7 @@
         """Forget all servers but these."""
         for server in set(self.records) - servers:
             del self.records[server]
+        self.unreachable_servers &= servers
 
     def _record(self, server, now):
         return self.records.setdefault(server, _Record(updated_at=now))
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -49,6 +49,7 @@
 
     # 13xx: backend servers and streams.
     SERVER_SUSPECTED = (1301, Level.WARNING, "backend server suspected")
+    SERVER_REACHABLE = (1303, Level.INFO, "backend server reachable again")
     STREAM_RESUMED = (1302, Level.INFO, "stream resumed at its offset")
     ENGINE_UNREACHABLE = (1311, Level.WARNING, "engine does not answer polls")
     ENGINE_REACHABLE = (1312, Level.INFO, "engine answers polls again")
