--- a/src/cassiaford/gateway/__init__.py
+++ b/src/cassiaford/gateway/__init__.py
@@ -27,6 +27,7 @@
     EngineControl,
     EngineReport,
     OrderAnswer,
+    OtherServerError,
     VersionOrder,
 )
 from cassiaford.gateway._gateway import Gateway, GatewayWorld
@@ -96,6 +97,7 @@
     "LeaseEndedError",
     "MalformedError",
     "OrderAnswer",
+    "OtherServerError",
     "Page",
     "PrefixStore",
     "PromptPart",
--- a/src/cassiaford/gateway/_attempt.py
+++ b/src/cassiaford/gateway/_attempt.py
@@ -55,7 +55,8 @@
     """Sends a request to one server and judges the answer.
 
     `sent` is whether any byte of the request was handed to the connection,
-    `answered` whether the server has begun an answer to pass on.
+    `answered` whether the server has begun an answer to pass on, `replaced`
+    whether another server answered at its address.
     """
 
     def __init__(self, dialect: Dialect, pool: ConnectionPool, forwarding: Forwarding):
@@ -65,6 +66,7 @@
         self.connection: ServerConnection | None = None
         self.sent = False
         self.answered = False
+        self.replaced = False
         self.done = False
 
     @property
@@ -126,7 +128,7 @@
     def _misdirected(self, facts):
         if facts.server_id == self.forwarding.server.server_id:
             raise ExchangeError(Failure.NOT_STARTED, "the engine has other weights")
-        self.pool.forget(self.address)
+        self.replaced = True
         raise ExchangeError(Failure.NOT_STARTED, "another server has the address")
 
 
--- a/src/cassiaford/gateway/_engine_control.py
+++ b/src/cassiaford/gateway/_engine_control.py
@@ -11,6 +11,10 @@
     """A call to an engine failed; an order may have been accepted."""
 
 
+class OtherServerError(EngineCallError):
+    """Another server answers at the engine's address; nothing took effect."""
+
+
 class OrderAnswer(enum.Enum):
     """How an engine answers an order."""
 
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -20,6 +20,7 @@
 from cassiaford.gateway._messages import Forwarding, HttpRequest, RequestFacts
 from cassiaford.gateway._prober import ServerProber
 from cassiaford.gateway._server_connection import ConnectionPool, ExchangeError
+from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import SendBudget, ServerTrust
 from cassiaford.logs import Event
 from cassiaford.verdict import Failure, Refusal, RefusalReason, Verdict, refuse
@@ -83,6 +84,7 @@
     """What exchanges share."""
 
     dialect: Dialect
+    view: View
     placer: Placer
     trust: ServerTrust
     prober: ServerProber
@@ -250,6 +252,9 @@
         job = self.job
         job.failure = error.failure
         now = self.loop.time()
+        if attempt.replaced:
+            self.parts.pool.forget(choice.server.address)
+            self.parts.view.replaced(choice.server)
         if error.failure is Failure.NOT_STARTED:
             self.parts.placer.turned_away(choice, job.facts, now)
         elif not attempt.sent:
--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -52,7 +52,9 @@
         self.log = log
         self.metrics = metrics
         self.rng = rng
-        self.parts = ExchangeParts(dialect, placer, trust, prober, pool, {}, log, rng)
+        self.parts = ExchangeParts(
+            dialect, view, placer, trust, prober, pool, {}, log, rng
+        )
         self.instances: Callable[[], int] = lambda: 1
         self.leaving = False
         self.refusing = False
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -175,6 +175,7 @@
             self.log,
         )
         self.prober = ServerProber(self.view, self.trust, self.world.pool, self.log)
+        self.orderer.unreachable = lambda: self.prober.unreachable
         self.peers.on_unreachable = self.prober.heard
         self.peers.revision = lambda: self.mirror.revision
         self.peers.on_newer = self._peer_is_newer
--- a/src/cassiaford/gateway/_orders.py
+++ b/src/cassiaford/gateway/_orders.py
@@ -13,6 +13,7 @@
     EngineCallError,
     EngineControl,
     OrderAnswer,
+    OtherServerError,
     VersionOrder,
 )
 from cassiaford.gateway._event_log import EventLog
@@ -74,6 +75,7 @@
         self.taken = False
         self.stopping = False
         self.tokens = lambda key: 0
+        self.unreachable = lambda: frozenset()
         self.demand = lambda now: 0.0
         self._orders: dict[int, asyncio.Task] = {}
         self._now = asyncio.get_running_loop().time
@@ -118,6 +120,7 @@
             RollOutServer(key, model, version, self.tokens(key))
             for model in self.view.named.models
             for key, server in self.view.engines_of(model).items()
+            if key not in self.unreachable()
             for version in (server.versions[model],)
         ]
 
@@ -211,6 +214,8 @@
                 ),
             )
             self._answered(order, server, answer)
+        except OtherServerError:
+            self.view.replaced(server)
         except EngineCallError as error:
             self.log.write(
                 Event.ORDER_NOT_ACCEPTED, server=server.server_id, cause=str(error)
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -36,6 +36,7 @@
         self.routes = RouteTable(())
         self.registry = ServerRegistry()
         self.servers: dict[str, dict[int, BackendServer]] = {}
+        self.replaced_keys: set[int] = set()
         self.named = NamedVersions()
         self.on_weights: Callable[[int], None] = lambda key: None
         self.on_peer: Callable[[Change], None] = lambda change: None
@@ -58,6 +59,14 @@
         if self.registry.expire(self.now()):
             self._index_servers()
 
+    def replaced(self, server: BackendServer) -> None:
+        """Take in that another server answers at a server's address."""
+        key = server_key(server)
+        if key not in self.replaced_keys:
+            self.replaced_keys.add(key)
+            self.log.write(Event.SERVER_REPLACED, server=server.server_id)
+            self._index_servers()
+
     def engines_of(self, model: str) -> dict[int, BackendServer]:
         """Return the engines that have a model, by key."""
         return {
@@ -145,8 +154,26 @@
 
     def _index_servers(self):
         servers = {}
-        for server in self.registry.servers.values():
-            if not server.draining:
-                servers.setdefault(server.service, {})[server_key(server)] = server
+        known = set()
+        for server in _newest_by_address(self.registry.servers.values()):
+            key = server_key(server)
+            known.add(key)
+            if not server.draining and key not in self.replaced_keys:
+                servers.setdefault(server.service, {})[key] = server
+        self.replaced_keys &= known
         self.servers = servers
         self.on_servers()
+
+
+def _newest_by_address(servers):
+    """Return the servers without those whose address another one has now.
+
+    The entry of a server that crashed stays for seconds after its successor
+    has registered.
+    """
+    newest = {}
+    for server in servers:
+        known = newest.get(server.address)
+        if known is None or server.born >= known.born:
+            newest[server.address] = server
+    return newest.values()
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -57,6 +57,7 @@
 
     SERVER_JOINED = (1321, Level.INFO, "backend server registered")
     SERVER_CHANGED = (1322, Level.INFO, "backend server's entry changed")
+    SERVER_REPLACED = (1324, Level.INFO, "another backend server at this address")
     SERVER_LEFT = (1323, Level.INFO, "backend server's entry removed")
 
     # 14xx: peers and membership.
--- a/src/cassiaford/platform/_engines.py
+++ b/src/cassiaford/platform/_engines.py
@@ -11,6 +11,7 @@
     HttpCaller,
     MalformedError,
     OrderAnswer,
+    OtherServerError,
     VersionOrder,
 )
 from cassiaford.platform._json import flag, parse_object, whole
@@ -23,7 +24,6 @@
     200: OrderAnswer.ALREADY_HOLDS,
     409: OrderAnswer.CONFLICT,
     412: OrderAnswer.FENCED_OFF,
-    421: OrderAnswer.REJECTED,
     400: OrderAnswer.REJECTED,
 }
 
@@ -73,8 +73,11 @@
         if body:
             headers.append(("Content-Type", "application/json"))
         try:
-            return await self.caller.call(
+            reply = await self.caller.call(
                 method, server.address, target, TIME_OUT_S, headers, body
             )
         except CallFailedError as error:
             raise EngineCallError(str(error)) from error
+        if reply.status == 421:
+            raise OtherServerError("another server has the address")
+        return reply
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -272,3 +272,34 @@
         self.assertEqual(len(orders), 3)
         self.assertEqual(len({order["Holder"] for order in orders}), 1)
         self.assertEqual(len({order["FencingToken"] for order in orders}), 1)
+
+
+class ReplacedServerTest(PlatformCase):
+    async def test_an_entry_whose_address_has_a_successor_is_not_used(self):
+        await self.store.put("op/config", configuration())
+        old = await self.start_worker("i-old", "desk")
+        gateway = await self.start_gateway()
+        old.server_id = "i-new"
+        await self.register(old)
+        await self.until(lambda: "servers/i-new" in gateway.view.registry.servers)
+        for number in range(4):
+            answer = await self.call(gateway, "/book/1", attempt=f"b{number}")
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(old.ran, ["b0", "b1", "b2", "b3"])
+
+    async def test_one_request_tells_that_a_server_was_replaced(self):
+        await self.store.put("op/config", configuration())
+        old = await self.start_worker("i-old", "desk")
+        gateway = await self.start_gateway()
+        old.server_id = "i-new"
+        await self.call(gateway, "/book/1")
+        self.assertEqual(gateway.view.servers, {})
+
+    async def test_an_order_to_a_replaced_engine_is_given_once(self):
+        await self.store.put("op/config", configuration())
+        old = await self.start_worker("i-old", "engine")
+        gateway = await self.start_gateway()
+        old.server_id = "i-new"
+        await self.store.put(f"op/version/{MODEL}", {"Model": MODEL, "Version": 4})
+        await self.until(lambda: gateway.view.servers == {})
+        self.assertEqual(old.orders, [])
