--- a/src/cassiaford/gateway/_beliefs.py
+++ b/src/cassiaford/gateway/_beliefs.py
@@ -21,6 +21,9 @@
 # ones were named; an engine that has them is worth this wait.
 OLD_WEIGHTS_AFTER_S = 1.5
 OLD_WEIGHTS_COST_S = 0.25
+# A prompt that goes to another data centre uses links that are dear; an engine
+# of the instance's own may begin this much later.
+REMOTE_COST_S = 0.03
 # An engine that is yet to load new weights will lose what it reads now.
 SOON_EMPTIED_COST_S = 0.1
 # It loads once its requests have ended, so each long one keeps it from that;
@@ -147,7 +150,9 @@
                 server.server_id,
                 server.slots,
                 spec.cache_tokens,
-                self.trust.cost_s(key, now) + self._weights_cost(server, facts, now),
+                self.trust.cost_s(key, now)
+                + self._weights_cost(server, facts, now)
+                + self._distance_cost(server),
                 self._new_unit_cost(server, facts, now),
                 server.versions.get(facts.model, 0),
                 spec.link_bytes_per_s / spec.token_bytes if spec.token_bytes else 0.0,
@@ -182,6 +187,9 @@
         usable.sort(key=lambda store: store.data_centre != self.data_centre)
         return usable[0].address if usable else None
 
+    def _distance_cost(self, server):
+        return 0.0 if server.data_centre == self.data_centre else REMOTE_COST_S
+
     def _weights_cost(self, server, facts, now):
         age = self._behind_for(server, facts, now)
         if age <= 0.0:
--- a/src/cassiaford/gateway/peers.capnp
+++ b/src/cassiaford/gateway/peers.capnp
@@ -20,6 +20,8 @@
   server @1 :UInt32;
 }
 
+# A report that is not whole names its sender by digest and says only what has
+# changed; the texts stand in whole reports.
 struct Report {
   name @0 :Text;
   incarnation @1 :UInt64;   # milliseconds of the sender's start
@@ -27,7 +29,7 @@
   frontAddress @3 :Text;
   peerAddress @4 :Text;
   ready @5 :Bool;
-  whole @6 :Bool;           # false: only what has changed
+  whole @6 :Bool;
   work @7 :List(Work);
   spending @8 :List(Spending);
   held @9 :List(UInt32);    # engines taken out of use for new weights
@@ -35,6 +37,7 @@
   revision @11 :UInt64;     # of the sender's copy of the store
   sequence @12 :UInt32;
   unreachable @13 :List(UInt32);
+  sender @14 :UInt32;       # digest of the sender's name
 }
 
 # An instance's copy of a part of the store, for a peer that the store rejects.
