--- a/src/cassiaford/gateway/_peer_codec.py
+++ b/src/cassiaford/gateway/_peer_codec.py
@@ -22,13 +22,14 @@
     """What an instance tells its peers several times a second.
 
     `work`, `held` and `unreachable` name backend servers by digest, `spending`
-    customers, and `placements` units of placement and engines; `whole` is false if only
-    changes are named.
+    customers, and `placements` units and engines. Only a whole report has the
+    sender's state; another one has its digest and names only changes.
     """
 
-    sender: PeerState
+    sender: int
+    incarnation: int
     sequence: int
-    whole: bool
+    state: PeerState | None = None
     revision: int = 0
     work: dict[int, PlacedWork] = field(default_factory=dict)
     spending: dict[int, int] = field(default_factory=dict)
@@ -36,17 +37,17 @@
     unreachable: frozenset[int] = frozenset()
     placements: tuple[tuple[int, int], ...] = ()
 
+    @property
+    def whole(self) -> bool:
+        """Whether the report names everything."""
+        return self.state is not None
+
 
 def encode_report(report: Report) -> bytes:
     """Return the datagram of a report."""
-    sender = report.sender
     message = _schema.Report.new_message(
-        name=sender.name,
-        incarnation=sender.incarnation,
-        dataCentre=sender.data_centre,
-        frontAddress=sender.front_address,
-        peerAddress=sender.peer_address,
-        ready=sender.ready,
+        sender=report.sender,
+        incarnation=report.incarnation,
         whole=report.whole,
         revision=report.revision,
         sequence=report.sequence,
@@ -56,6 +57,12 @@
             {"unit": unit, "server": server} for unit, server in report.placements
         ],
     )
+    if report.state is not None:
+        message.name = report.state.name
+        message.dataCentre = report.state.data_centre
+        message.frontAddress = report.state.front_address
+        message.peerAddress = report.state.peer_address
+        message.ready = report.state.ready
     work = message.init("work", len(report.work))
     for entry, (server, placed) in zip(work, report.work.items(), strict=True):
         entry.server = server
@@ -76,16 +83,10 @@
     try:
         message = _schema.Report.from_bytes_packed(data)
         return Report(
-            sender=PeerState(
-                message.name,
-                message.incarnation,
-                message.dataCentre,
-                message.frontAddress,
-                message.peerAddress,
-                message.ready,
-            ),
+            sender=message.sender,
+            incarnation=message.incarnation,
             sequence=message.sequence,
-            whole=message.whole,
+            state=_state(message) if message.whole else None,
             revision=message.revision,
             work={
                 w.server: PlacedWork(w.prefillMs / 1000, w.running, w.tokens)
@@ -100,6 +101,17 @@
         raise PeerMessageError(str(error)) from error
 
 
+def _state(message):
+    return PeerState(
+        message.name,
+        message.incarnation,
+        message.dataCentre,
+        message.frontAddress,
+        message.peerAddress,
+        message.ready,
+    )
+
+
 def encode_snapshot(sections: dict[str, Page]) -> bytes:
     """Return the message of a copy of the store."""
     message = _schema.Snapshot.new_message(
--- a/src/cassiaford/gateway/_peers.py
+++ b/src/cassiaford/gateway/_peers.py
@@ -58,7 +58,8 @@
         self.customers: dict[int, str] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self._sequence = itertools.count(1)
-        self._newest: dict[str, tuple[int, int]] = {}
+        self._newest: dict[int, tuple[int, int]] = {}
+        self._states: dict[int, PeerState] = {}
         self._told = {}
         self._left_out = 0
         self._rounds = itertools.count()
@@ -78,7 +79,7 @@
         except PeerMessageError as error:
             self.log.write(Event.PEER_MESSAGE_DROPPED, peer=addr[0], cause=str(error))
             return
-        if report.sender.name != self.state.name and self._is_new(report):
+        if report.sender != digest(self.state.name) and self._is_new(report):
             self._take_in(report)
 
     def set_customers(self, names) -> None:
@@ -119,9 +120,10 @@
             spending = _changed(spending, self._told.get("spending", {}))
         self._told = now_told
         report = Report(
-            sender=self.state,
+            sender=digest(self.state.name),
+            incarnation=self.state.incarnation,
             sequence=next(self._sequence),
-            whole=whole,
+            state=self.state if whole else None,
             revision=self.revision(),
             work=work,
             spending=spending,
@@ -145,17 +147,29 @@
         return work
 
     def _is_new(self, report):
-        newest = self._newest.get(report.sender.name, (0, 0))
-        number = (report.sender.incarnation, report.sequence)
+        newest = self._newest.get(report.sender, (0, 0))
+        number = (report.incarnation, report.sequence)
         if number <= newest:
             return False
-        self._newest[report.sender.name] = number
+        self._newest[report.sender] = number
         return True
 
+    def _sender(self, report):
+        """Return the state of a report's sender, None if it is not known yet."""
+        if report.state is not None:
+            self._states[report.sender] = report.state
+        state = self._states.get(report.sender)
+        if state is None or state.incarnation != report.incarnation:
+            return None
+        return state
+
     def _take_in(self, report):
         now = self._now()
-        name = report.sender.name
-        self.table.hear(report.sender, now)
+        state = self._sender(report)
+        if state is None:
+            return
+        name = state.name
+        self.table.hear(state, now)
         self.engines.hear(name, report.work, report.whole, now)
         self.engines.homes.hear(report.placements, now)
         running = {} if report.whole else dict(self.services.peers.get(name, {}))
@@ -166,11 +180,11 @@
             for key, tokens in report.spending.items()
             if key in self.customers
         }
-        self.rates.hear(name, report.sender.incarnation, spent, now)
+        self.rates.hear(name, report.incarnation, spent, now)
         self.peers_held[name] = report.held
         self.on_unreachable(report.unreachable)
         if report.revision > self.revision():
-            self.on_newer(report.sender, report.revision)
+            self.on_newer(state, report.revision)
 
 
 def _plain_work(running):
