--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -36,6 +36,7 @@
     RollOut,
     ServerTrust,
     ServiceBook,
+    choose_entries,
 )
 from cassiaford.logs import Event
 from cassiaford.metrics import Metrics
@@ -408,13 +409,11 @@
     # The directory.
 
     def _directory_body(self, target):
-        addresses = [
-            peer.front_address
-            for peer in self.table.live(self.loop.time())
-            if peer.ready
-        ]
+        states = [p for p in self.table.live(self.loop.time()) if p.ready]
         if self.ready:
-            addresses.append(self.state.front_address)
+            states.append(self.state)
+        near = self.world.directory.data_centre(target)
+        addresses = choose_entries(states, near)
         self.rng.shuffle(addresses)
         if not addresses:
             return None
