--- a/src/cassiaford/gateway/_dialect.py
+++ b/src/cassiaford/gateway/_dialect.py
@@ -66,10 +66,6 @@
     def requested(self, target: str) -> bool:
         """Return whether a target is that question."""
 
-    @abstractmethod
-    def data_centre(self, target: str) -> str:
-        """Return the data centre that a caller says it is in."""
-
     @abstractmethod
     def answer(self, addresses: list[str], time_to_live_s: float) -> bytes:
         """Return the body that names addresses, the best first."""
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -36,7 +36,6 @@
     RollOut,
     ServerTrust,
     ServiceBook,
-    choose_entries,
 )
 from cassiaford.logs import Event
 from cassiaford.metrics import Metrics
@@ -409,11 +408,13 @@
     # The directory.
 
     def _directory_body(self, target):
-        states = [p for p in self.table.live(self.loop.time()) if p.ready]
+        addresses = [
+            peer.front_address
+            for peer in self.table.live(self.loop.time())
+            if peer.ready
+        ]
         if self.ready:
-            states.append(self.state)
-        near = self.world.directory.data_centre(target)
-        addresses = choose_entries(states, near)
+            addresses.append(self.state.front_address)
         self.rng.shuffle(addresses)
         if not addresses:
             return None
--- a/src/cassiaford/gateway/policy/__init__.py
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -12,7 +12,7 @@
 from cassiaford.gateway.policy._fleet_rates import FleetRates, Limit
 from cassiaford.gateway.policy._generation import Generation, Prefix
 from cassiaford.gateway.policy._named_versions import NamedVersions
-from cassiaford.gateway.policy._peer_table import PeerState, PeerTable, choose_entries
+from cassiaford.gateway.policy._peer_table import PeerState, PeerTable
 from cassiaford.gateway.policy._registry import ServerRegistry
 from cassiaford.gateway.policy._roll_out import GiveOrder, RollOut, RollOutServer
 from cassiaford.gateway.policy._send_budget import SendBudget
@@ -39,5 +39,4 @@
     "ServerRegistry",
     "ServerTrust",
     "ServiceBook",
-    "choose_entries",
 ]
--- a/src/cassiaford/gateway/policy/_peer_table.py
+++ b/src/cassiaford/gateway/policy/_peer_table.py
@@ -1,6 +1,5 @@
 """Which other instances are live, from the store and from their reports."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 # Reports come several times a second; after this long without one a peer is
@@ -9,9 +8,6 @@
 # A peer that is no longer registered may still be there while the store is not.
 UNREGISTERED_FOR_S = 20.0
 
-# Callers that are given fewer addresses have too few left when one fails.
-ENOUGH_NEAR = 2
-
 
 @dataclass(frozen=True)
 class PeerState:
@@ -111,22 +107,3 @@
 
 def _kept_for(peer):
     return LIVE_FOR_S if peer.heard_at is None else UNREGISTERED_FOR_S
-
-
-def choose_entries(instances: Iterable[PeerState], data_centre: str) -> list[str]:
-    """Return the addresses that a caller in a data centre should use.
-
-    Those of its own data centre, if there are enough to lose one, else all.
-
-    Examples
-    --------
-    >>> states = [PeerState(n, 1, n[0], f"{n}:80", "") for n in ("a1", "a2", "b1")]
-    >>> choose_entries(states, "a")
-    ['a1:80', 'a2:80']
-    >>> choose_entries(states, "b")
-    ['a1:80', 'a2:80', 'b1:80']
-    """
-    instances = list(instances)
-    near = [state for state in instances if state.data_centre == data_centre]
-    chosen = near if len(near) >= ENOUGH_NEAR else instances
-    return [state.front_address for state in chosen]
--- a/src/cassiaford/platform/_directory.py
+++ b/src/cassiaford/platform/_directory.py
@@ -1,7 +1,6 @@
 """The platform's questions to an instance: where to connect, and readiness."""
 
 import json
-from urllib.parse import parse_qs
 
 from cassiaford.gateway import Directory, ReadinessProbe
 
@@ -16,11 +15,6 @@
         """Return whether a target resolves a host."""
         return target.partition("?")[0] == "/resolve"
 
-    def data_centre(self, target: str) -> str:
-        """Return the data centre that a caller says it is in."""
-        query = parse_qs(target.partition("?")[2])
-        return query.get("Zone", [""])[0]
-
     def answer(self, addresses: list[str], time_to_live_s: float) -> bytes:
         """Return the body that names addresses."""
         document = {"Addresses": addresses[:MAX_ADDRESSES], "TtlS": time_to_live_s}
