--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -6,10 +6,18 @@
 import signal
 import time
 import traceback
+from collections.abc import Callable
+from dataclasses import replace
 
 from cassiaford.gateway._beliefs import Placer
 from cassiaford.gateway._caller_connection import CallerConnection, listen
-from cassiaford.gateway._dialect import Dialect, Directory, ReadinessProbe, Records
+from cassiaford.gateway._dialect import (
+    Dialect,
+    Directory,
+    MalformedError,
+    ReadinessProbe,
+    Records,
+)
 from cassiaford.gateway._engine_control import EngineControl
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._front import BodyHandler, Front, ProbeHandler
@@ -54,6 +62,7 @@
 COPY_EVERY_S = 0.4
 COPY_TIME_OUT_S = 0.8
 COPY_TARGET = "/mirror"
+METRICS_TARGET = "/metrics"
 # Of a planned stop: callers learn of it, then new requests are refused, then
 # the process ends once nothing is in progress.
 REFUSE_AFTER_SHARE = 0.3
@@ -97,7 +106,9 @@
         settings: GatewaySettings,
         world: GatewayWorld,
         rng: random.Random | None = None,
+        reload: Callable[[], GatewaySettings] | None = None,
     ):
+        self.reload = reload
         self.settings = settings
         self.world = world
         self.loop = asyncio.get_running_loop()
@@ -150,7 +161,7 @@
             self.state,
             self.world.store,
             self.rng,
-            self.log,
+            self.sync,
         )
         self.orderer = Orderer(
             instance=self.state.name,
@@ -160,6 +171,7 @@
             control=self.world.control,
             roll_out=RollOut(self.view.named, self.settings.weights_within_s),
             rng=self.rng,
+            sync=self.sync,
             log=self.log,
         )
         self.orderer.tokens = self.engines.tokens
@@ -212,6 +224,7 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then stop gracefully."""
         self.loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.log.write(Event.INSTANCE_STARTED, incarnation=self.state.incarnation)
         await self._listen()
         parts = (
@@ -239,6 +252,23 @@
             self.peers.transport.close()
         self.world.pool.close()
 
+    def _reload(self):
+        """Read the settings again; addresses stay as they were at the start."""
+        if self.reload is None:
+            return
+        try:
+            settings = self.reload()
+        except (MalformedError, OSError) as error:
+            self.log.write(Event.SETTINGS_REJECTED, cause=str(error))
+            return
+        addresses = self.settings.addresses
+        kept = settings.addresses == addresses
+        self.settings = replace(settings, addresses=addresses)
+        self.front.resends = settings.resends
+        self.front.parts.budgets.clear()
+        self.orderer.roll_out.within_s = settings.weights_within_s
+        self.log.write(Event.SETTINGS_READ, addresses_kept=kept)
+
     @property
     def ready(self) -> bool:
         """Whether callers can be served."""
@@ -268,12 +298,16 @@
             self._copy_body,
             "application/octet-stream",
         )
+        metrics = BodyHandler(
+            lambda target: target == METRICS_TARGET, self._metrics_body, "text/plain"
+        )
         other = self.other_connections
         self.servers = [
             await listen(addresses.front, self.front, self.connections),
             await listen(addresses.readiness, probe, other),
             await listen(addresses.directory, directory, other),
             await listen(addresses.peer, copies, other),
+            await listen(addresses.metrics, metrics, other),
         ]
         host, _, port = addresses.peer.rpartition(":")
         await self.loop.create_datagram_endpoint(
@@ -324,6 +358,7 @@
     def _expire(self):
         now = self.loop.time()
         self.view.expire()
+        self.engines.homes.expire(now)
         self.world.pool.sweep()
         for name in self.table.expire(now):
             self._forget_peer(name)
@@ -343,7 +378,7 @@
 
     def _tell_readiness(self):
         if self.state.ready != self.ready:
-            self.state = self.peers.state = _with_ready(self.state, self.ready)
+            self.state = self.peers.state = replace(self.state, ready=self.ready)
             if self.ready:
                 self.log.write(Event.INSTANCE_READY)
             self.peers.tell()
@@ -405,6 +440,29 @@
     def _copy_body(self, target):
         return encode_snapshot(self.mirror.copies()) if self.mirror.complete else None
 
+    def _metrics_body(self, target):
+        now = self.loop.time()
+        for name, value in self._gauges(now):
+            self.metrics.set_gauge(f"cassiaford_{name}", value)
+        return self.metrics.render().encode()
+
+    def _gauges(self, now):
+        sync = self.sync
+        configuration = self.view.configuration
+        yield "configuration_version", configuration.version if configuration else 0
+        yield "store_reachable", float(sync.reachable)
+        yield "store_heard_age_seconds", now - (sync.heard_at or 0.0)
+        yield "peers_live", len(self.table.live(now))
+        yield "peers_expected", len(self.table.expected())
+        yield "requests_in_progress", self.front.in_progress
+        yield "caller_connections", len(self.connections)
+        yield "server_connections_opened_total", self.world.pool.opened
+        yield "servers_unreachable", len(self.prober.unreachable)
+        yield "engines_out_of_use", len(self.placer.held)
+        yield "prefill_tokens_per_second", self.engines.prefill_tokens_per_s
+        yield "engines_demanded", self.engines.demand(now)
+        yield "log_lines_dropped", self.log.dropped
+
     # The directory.
 
     def _directory_body(self, target):
@@ -419,14 +477,3 @@
         if not addresses:
             return None
         return self.world.directory.answer(addresses, self.settings.directory_ttl_s)
-
-
-def _with_ready(state, ready):
-    return PeerState(
-        name=state.name,
-        incarnation=state.incarnation,
-        data_centre=state.data_centre,
-        front_address=state.front_address,
-        peer_address=state.peer_address,
-        ready=ready,
-    )
--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -37,6 +37,10 @@
     def changed(self, change: Change) -> None:
         """Take in a change of one key."""
 
+    @abstractmethod
+    def store_lost(self) -> None:
+        """Take in that the store does not answer."""
+
     @abstractmethod
     def store_returned(self) -> None:
         """Take in that the store answers again after an outage."""
@@ -157,40 +161,52 @@
                 else:
                     await self._read(section)
                     read = True
-                self._answered(section.prefix)
                 retry_s = FIRST_RETRY_S
             except HistoryLostError:
-                self._answered(section.prefix)
+                self.answered(section.prefix)
                 read = False
             except StoreError as error:
-                self._failed(section.prefix, error)
+                self.failed(section.prefix, error)
                 await asyncio.sleep(retry_s * (0.5 + self.rng.random()))
                 retry_s = min(2 * retry_s, MAX_RETRY_S)
 
     async def _read(self, section):
         page = await self.store.read(section.prefix)
+        # Before what lapsed in an outage is taken in as removed.
+        self.answered(section.prefix)
         self.mirror.replace(section.prefix, page)
 
     async def _watch(self, section):
         after = self.mirror.revisions[section.prefix]
         changes = await self.store.watch(section.prefix, after, WATCH_S)
+        self.answered(section.prefix)
         self.mirror.apply(section.prefix, changes)
         if changes.changes:
             await asyncio.sleep(section.gather_s)
 
-    def _answered(self, prefix):
+    def answered(self, caller: str) -> None:
+        """Take note that a call was answered; `caller` tells calls apart."""
         self.heard_at = self.clock()
-        if prefix not in self.failing:
+        self.no_longer_calls(caller)
+
+    def no_longer_calls(self, caller: str) -> None:
+        """Leave a failed call out of account; it is not made again."""
+        if caller not in self.failing:
             return
-        self.failing.discard(prefix)
+        self.failing.discard(caller)
+        self.mirror.listener.store_returned()
         if not self.failing:
-            self.log.write(
-                Event.KEY_VALUE_BACK, away_s=round(self.clock() - self.lost_at, 3)
-            )
-            self.mirror.listener.store_returned()
+            away_s = round(self.clock() - self.lost_at, 3)
+            self.log.write(Event.KEY_VALUE_BACK, away_s=away_s)
+
+    def failed(self, caller: str, error: StoreError) -> None:
+        """Take note that a call failed.
 
-    def _failed(self, prefix, error):
+        A watch may wait through an outage unharmed, so that only other calls
+        tell of it.
+        """
         if not self.failing:
             self.lost_at = self.clock()
-            self.log.write(Event.KEY_VALUE_LOST, section=prefix, cause=str(error))
-        self.failing.add(prefix)
+            self.log.write(Event.KEY_VALUE_LOST, caller=caller, cause=str(error))
+            self.mirror.listener.store_lost()
+        self.failing.add(caller)
--- a/src/cassiaford/gateway/_orders.py
+++ b/src/cassiaford/gateway/_orders.py
@@ -17,6 +17,7 @@
     VersionOrder,
 )
 from cassiaford.gateway._event_log import EventLog
+from cassiaford.gateway._mirror import MirrorSync
 from cassiaford.gateway._store import (
     Committed,
     Condition,
@@ -33,6 +34,8 @@
 # well within the shortest time for a version.
 LEASE_S = 2.0
 RENEW_S = 0.5
+# Tells its calls to the store apart from others.
+CALLER = "orders"
 # The holder stops this long before its lease may have run out.
 LEASE_MARGIN_S = 0.5
 # How often the holder looks at engines that load.
@@ -59,6 +62,7 @@
         control: EngineControl,
         roll_out: RollOut,
         rng: random.Random,
+        sync: MirrorSync,
         log: EventLog,
     ):
         self.instance = instance
@@ -68,6 +72,7 @@
         self.control = control
         self.roll_out = roll_out
         self.rng = rng
+        self.sync = sync
         self.log = log
         self.fencing = 0
         self.lease = 0
@@ -164,6 +169,7 @@
             for task in self._orders.values():
                 task.cancel()
             self._orders.clear()
+            self.sync.no_longer_calls(CALLER)
         if self.fencing:
             self.log.write(Event.ORDERS_SUSPENDED, cause="lease not renewed")
         self.fencing = 0
@@ -179,8 +185,9 @@
                 self.valid_until = 0.0
                 return
             except StoreError as error:
-                self.log.write(Event.KEY_VALUE_LOST, section="lease", cause=str(error))
+                self.sync.failed(CALLER, error)
                 continue
+            self.sync.answered(CALLER)
             self.valid_until = asked_at + LEASE_S - LEASE_MARGIN_S
 
     def _give_due_orders(self):
@@ -200,7 +207,6 @@
             if report.versions.get(order.model, 0) >= order.version:
                 # Its entry in the store, which ends its turn, is on the way.
                 return
-            # Nothing is awaited between this check and the send.
             if not self.holds:
                 return
             answer = await self.control.order(
--- a/src/cassiaford/gateway/_registration.py
+++ b/src/cassiaford/gateway/_registration.py
@@ -4,7 +4,7 @@
 import json
 import random
 
-from cassiaford.gateway._event_log import EventLog
+from cassiaford.gateway._mirror import MirrorSync
 from cassiaford.gateway._store import (
     LeaseEndedError,
     SharedStore,
@@ -12,12 +12,13 @@
     Write,
 )
 from cassiaford.gateway.policy import PeerState
-from cassiaford.logs import Event
 
 # Peers that are gone are forgotten after this time; reports between instances
 # notice it sooner. A renewal each third of it outlives two lost ones.
 LEASE_S = 6.0
 RENEW_S = 2.0
+# Tells its calls to the store apart from others.
+CALLER = "registration"
 
 
 def encode_entry(state: PeerState) -> bytes:
@@ -56,13 +57,13 @@
         state: PeerState,
         store: SharedStore,
         rng: random.Random,
-        log: EventLog,
+        sync: MirrorSync,
     ):
         self.key = key
         self.state = state
         self.store = store
         self.rng = rng
-        self.log = log
+        self.sync = sync
         self.lease = 0
         self.present = False
 
@@ -74,13 +75,13 @@
                     await self.store.renew_lease(self.lease)
                 else:
                     await self._register()
+                self.sync.answered(CALLER)
             except LeaseEndedError:
                 self.present = False
                 continue
             except StoreError as error:
-                # The watches log the outage; an entry that lapsed is written
-                # again with the next turn.
-                self.log.write_sampled(Event.KEY_VALUE_LOST, cause=str(error))
+                # An entry that lapsed is written again with the next turn.
+                self.sync.failed(CALLER, error)
             await asyncio.sleep(RENEW_S * (0.8 + 0.4 * self.rng.random()))
 
     async def withdraw(self) -> None:
@@ -92,7 +93,7 @@
             await self.store.end_lease(self.lease)
         except StoreError as error:
             # The lease runs out by itself.
-            self.log.write_sampled(Event.KEY_VALUE_LOST, cause=str(error))
+            self.sync.failed(CALLER, error)
 
     async def _register(self):
         self.lease = await self.store.grant_lease(LEASE_S)
--- a/src/cassiaford/gateway/_settings.py
+++ b/src/cassiaford/gateway/_settings.py
@@ -8,14 +8,16 @@
     """Where a gateway listens, as ``host:port``.
 
     `front` serves callers, `readiness` the platform's probe, `directory`
-    callers that ask where to connect, and `peer` other instances, over UDP
-    for reports and over TCP for copies of the store.
+    callers that ask where to connect, `metrics` the collector of metrics, and
+    `peer` other instances, over UDP for reports and over TCP for copies of the
+    store.
     """
 
     front: str
     readiness: str
     directory: str
     peer: str
+    metrics: str
 
 
 @dataclass(frozen=True)
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -50,6 +50,10 @@
         except MalformedError as error:
             self.log.write(Event.REVISION_REJECTED, key=change.key, cause=str(error))
 
+    def store_lost(self) -> None:
+        """Keep entries that lapse from now on, until the store is back."""
+        self.registry.store_lost()
+
     def store_returned(self) -> None:
         """Wait for entries that lapsed during an outage."""
         self.registry.store_returned(self.now())
--- a/src/cassiaford/gateway/policy/_registry.py
+++ b/src/cassiaford/gateway/policy/_registry.py
@@ -29,10 +29,18 @@
         self.servers: dict[str, BackendServer] = {}
         self.missing_until: dict[str, float] = {}
         self.settled_at = 0.0
+        self.store_away = False
+
+    def store_lost(self) -> None:
+        """Take in that the store does not answer; what is missing may lapse."""
+        self.store_away = True
 
     def store_returned(self, now: float) -> None:
         """Expect entries that lapsed during an outage to come back."""
+        self.store_away = False
         self.settled_at = now + RETURN_WITHIN_S
+        for key in self.missing_until:
+            self.missing_until[key] = self.settled_at
 
     def put(self, key: str, server: BackendServer) -> None:
         """Take in an entry."""
@@ -43,13 +51,15 @@
         """Take in that an entry is missing."""
         if key not in self.servers:
             return
-        if now < self.settled_at:
-            self.missing_until[key] = self.settled_at
+        if self.store_away or now < self.settled_at:
+            self.missing_until[key] = max(self.settled_at, now + RETURN_WITHIN_S)
         else:
             self._drop(key)
 
     def expire(self, now: float) -> bool:
         """Drop servers that did not come back; return whether any was."""
+        if self.store_away:
+            return False
         lapsed = [key for key, until in self.missing_until.items() if now >= until]
         for key in lapsed:
             self._drop(key)
--- a/src/cassiaford/gateway/policy/_unit_homes.py
+++ b/src/cassiaford/gateway/policy/_unit_homes.py
@@ -37,6 +37,7 @@
         self.first_levels: dict[tuple[bytes, Hashable], float] = {}
         self.told_at: dict[tuple[int, Hashable], float] = {}
         self.saved_at: dict[int, float] = {}
+        self.expired_at = 0.0
         self.to_tell: list[tuple[int, Hashable]] = []
 
     def engines(self, unit: bytes, now: float) -> dict[Hashable, float]:
@@ -106,6 +107,19 @@
             for pair in [pair for pair in known if pair[1] == key]:
                 del known[pair]
 
+    def expire(self, now: float) -> None:
+        """Forget what was not used for long, at most once a while."""
+        if now - self.expired_at < KNOWN_FOR_S:
+            return
+        self.expired_at = now
+        for known, kept_s in (
+            (self.first_levels, KNOWN_FOR_S),
+            (self.told_at, TELL_AGAIN_S),
+            (self.saved_at, SAVE_AGAIN_S),
+        ):
+            for key in [key for key, at in known.items() if now - at >= kept_s]:
+                del known[key]
+
     def _use(self, unit, key, now):
         self.units.setdefault(unit, {})[key] = now
         self.units.move_to_end(unit)
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -24,6 +24,8 @@
     INSTANCE_READY = (1002, Level.INFO, "instance ready to serve")
     DRAIN_STARTED = (1003, Level.INFO, "graceful shutdown started")
     DRAIN_FINISHED = (1004, Level.INFO, "graceful shutdown finished")
+    SETTINGS_READ = (1008, Level.INFO, "settings read again")
+    SETTINGS_REJECTED = (1009, Level.ERROR, "settings not usable")
     INSTANCE_SUSPENDED = (1007, Level.WARNING, "instance was suspended")
     DRAIN_CUT_SHORT = (1005, Level.ERROR, "graceful shutdown cut short")
     THREAD_FAILED = (1006, Level.ERROR, "background thread failed and goes on")
--- a/src/cassiaford/platform/_settings.py
+++ b/src/cassiaford/platform/_settings.py
@@ -15,6 +15,8 @@
 # Callers keep a directory's answer for this long; a change of the fleet
 # reaches them with the next one.
 DIRECTORY_TTL_S = 1.0
+# Named in the deploy file too.
+METRICS_PORT = 9464
 # Where the platform bounds them by nothing, the bounds of its pages.
 _WEIGHTS_WITHIN_MS = 6000
 _GRACE_S = 8
@@ -36,6 +38,7 @@
             readiness=text(listen, "Ready"),
             directory=text(listen, "Directory"),
             peer=f"{text(document, 'Ip')}:{ports[0]}",
+            metrics=f"{text(document, 'Ip')}:{METRICS_PORT}",
         ),
         store_address=text(_table(document, "Platform"), "Address"),
         resends=ResendLimits(
--- a/src/cassiaford/platform/_start.py
+++ b/src/cassiaford/platform/_start.py
@@ -6,7 +6,7 @@
 import sys
 
 from cassiaford.gateway import ConnectionPool, Gateway, GatewayWorld, HttpCaller
-from cassiaford.logs import configure_logging
+from cassiaford.logs import BoundedStream, configure_logging
 from cassiaford.platform._dialect import PlatformDialect
 from cassiaford.platform._directory import PlatformDirectory, PlatformProbe
 from cassiaford.platform._engines import PlatformEngineControl
@@ -33,7 +33,8 @@
     """Serve with the settings of a file until SIGTERM."""
     settings = read_settings(path)
     world = create_world(settings.store_address, ConnectionPool())
-    await Gateway(settings, world).run()
+    gateway = Gateway(settings, world, reload=lambda: read_settings(path))
+    await gateway.run()
 
 
 def main() -> None:
@@ -41,5 +42,5 @@
     path = os.environ.get(PATH_VARIABLE)
     if not path:
         sys.exit(f"{PATH_VARIABLE} names no settings file")
-    configure_logging("json", "info", sys.stdout)
+    configure_logging("json", "info", BoundedStream(sys.stdout.fileno()))
     asyncio.run(serve(pathlib.Path(path)))
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -20,6 +20,7 @@
     PLAIN_503 = "503 without word that it has not run"
     RESET = "reset before an answer"
     HANG = "no answer"
+    SLOW = "an answer once it is released"
     SHORT = "a body that breaks off"
     BREAK_IN_EVENT = "a stream that breaks off within its second event"
     EXTRA = "a second answer after the first"
@@ -45,6 +46,7 @@
         self.cancelled: list[str] = []
         self.orders: list[dict] = []
         self.state = "ready"
+        self.released = asyncio.Event()
 
     def entry(self) -> dict:
         """Return what the worker says of itself in the store."""
@@ -133,6 +135,8 @@
                 await reader.read(1)
                 self.cancelled.append(attempt)
                 return False
+            case Behaviour.SLOW:
+                await self.released.wait()
             case Behaviour.UNSIGNED:
                 writer.write(answer_bytes(200, {"X-Attempt-Id": attempt}, b"unsigned"))
                 return True
--- /dev/null
+++ b/tests/test_bounded_log.py
@@ -0,0 +1,51 @@
+"""Tests of the log stream when nobody reads it."""
+
+import os
+import unittest
+
+from cassiaford.logs import BoundedStream
+
+
+class BoundedStreamTest(unittest.TestCase):
+    def setUp(self):
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.stream = BoundedStream(writer)
+
+    def fill(self):
+        while not self.stream.dropped:
+            self.stream.write("x" * 1000 + "\n")
+
+    def read_all(self):
+        os.set_blocking(self.reader, False)
+        parts = []
+        while True:
+            try:
+                parts.append(os.read(self.reader, 65536))
+            except BlockingIOError:
+                return b"".join(parts)
+
+    def test_a_full_pipe_makes_nobody_wait(self):
+        self.fill()
+        for _ in range(50):
+            self.stream.write("y" * 1000 + "\n")
+        self.assertGreaterEqual(self.stream.dropped, 50)
+
+    def test_what_was_dropped_is_told_and_no_two_lines_are_joined(self):
+        self.fill()
+        dropped = self.stream.dropped
+        first = self.read_all()
+        self.stream.write("after\n")
+        lines = (first + self.read_all()).splitlines()
+        self.assertEqual(lines[-1], b"after")
+        self.assertIn(b'{"dropped_lines": %d}' % dropped, lines)
+        self.assertTrue(all(line == b"x" * 1000 for line in lines[:-2]))
+
+    def test_a_reader_that_is_gone_is_no_error(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        stream = BoundedStream(writer)
+        stream.write("lost\n")
+        os.close(writer)
+        self.assertEqual(stream.dropped, 1)
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -359,6 +359,16 @@
         registry.expire(now=20.0)
         self.assertEqual(list(registry.servers), ["servers/a"])
 
+    def test_an_entry_that_lapses_while_the_store_is_away_waits_for_it(self):
+        registry = ServerRegistry()
+        registry.put("servers/a", BackendServer("a", "s", "10.0.0.1:80", "x", 8))
+        registry.store_lost()
+        registry.remove("servers/a", now=10.0)
+        self.assertFalse(registry.expire(now=20.0))
+        registry.store_returned(now=20.0)
+        self.assertFalse(registry.expire(now=21.0))
+        self.assertTrue(registry.expire(now=22.5))
+
 
 class PeerTableTest(unittest.TestCase):
     def peer(self, incarnation=1):
--- /dev/null
+++ b/tests/test_platform_faults.py
@@ -0,0 +1,244 @@
+"""Tests of a gateway while the store, its peers or its settings misbehave."""
+
+import asyncio
+import os
+import signal
+
+from cassiaford.gateway import GatewaySettings
+from standins.platform_worker import Behaviour
+from tests.platform_case import (
+    KEY,
+    MODEL,
+    PlatformCase,
+    configuration,
+    read_answer,
+    route,
+)
+
+
+class StoreOutageTest(PlatformCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.store.put("op/config", configuration())
+        await self.start_worker("i-0", "desk")
+
+    async def test_requests_are_served_while_the_store_is_down(self):
+        gateway = await self.start_gateway()
+        self.store.faults.refuse = True
+        for _ in range(3):
+            self.assertEqual((await self.call(gateway, "/book/1")).status, 200)
+
+    async def test_an_instance_that_knows_nothing_is_not_ready_and_refuses(self):
+        self.store.faults.refuse = True
+        gateway = await self.start_gateway(ready=False)
+        await self.until(lambda: gateway.sync.failing)
+        self.assertFalse(gateway.ready)
+        answer = await self.call(gateway, "/book/1")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+
+    async def test_a_restarted_instance_serves_from_its_peer_s_copy(self):
+        first = await self.start_gateway("entry-1")
+        second = await self.start_gateway("entry-2")
+        await self.until(lambda: first.table.live(first.loop.time()))
+        self.store.faults.refuse = True
+        third = await self.start_gateway("entry-3", ready=False)
+        # A peer that the store rejects is not registered; it hears of others
+        # only if they know it, so it is made known as the registry would.
+        for peer in (first, second):
+            peer.table.register(third.state, peer.loop.time())
+        await self.until(lambda: third.ready)
+        self.assertEqual((await self.call(third, "/book/1")).status, 200)
+
+    async def test_a_forgotten_history_is_read_anew(self):
+        gateway = await self.start_gateway()
+        await self.store.forget_history()
+        await self.store.put("op/config", configuration(9))
+        await self.until(lambda: gateway.view.configuration.version == 9)
+
+    async def test_an_entry_that_lapsed_in_an_outage_and_came_back_is_used(self):
+        gateway = await self.start_gateway()
+        self.store.faults.refuse = True
+        await self.store.remove("servers/i-0")
+        await self.store.forget_history()
+        await self.until(lambda: gateway.sync.failing)
+        self.store.faults.refuse = False
+        await self.until(lambda: gateway.sync.reachable)
+        self.assertEqual((await self.call(gateway, "/book/1")).status, 200)
+        await self.register(self.workers["i-0"])
+        await self.until(lambda: not gateway.view.registry.missing_until)
+        self.assertEqual((await self.call(gateway, "/book/1")).status, 200)
+
+    async def test_a_lost_answer_of_a_write_leaves_the_instance_registered(self):
+        self.store.faults.lose_writes = 1
+        gateway = await self.start_gateway()
+        await self.until(lambda: gateway.registration.present)
+        self.assertIn("cassiaford/instances/entry-1", self.store.items)
+
+    async def test_an_entry_that_was_removed_is_written_again(self):
+        gateway = await self.start_gateway()
+        await self.until(lambda: gateway.registration.present)
+        await self.store.lapse(gateway.registration.lease)
+        await self.until(lambda: "cassiaford/instances/entry-1" in self.store.items)
+
+
+class BadEntryTest(PlatformCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.store.put("op/config", configuration())
+        await self.start_worker("i-0", "desk")
+
+    async def test_entries_of_other_writers_are_passed_over(self):
+        entry = self.workers["i-0"].entry()
+        bad = {
+            "servers/bytes": b"\xff\xfe\x00",
+            "servers/list": b"[1, 2]",
+            "servers/state": {**entry, "State": "tired"},
+            "servers/address": {**entry, "Address": 7},
+            "servers/none": {},
+            "op/version/x": {"Model": 3, "Version": "new"},
+            "op/unknown": {"a": 1},
+            "cassiaford/instances/x": b"nothing",
+        }
+        for key, value in bad.items():
+            await self.store.put(key, value)
+        gateway = await self.start_gateway()
+        self.assertEqual((await self.call(gateway, "/book/1")).status, 200)
+        self.assertEqual(list(gateway.view.registry.servers), ["servers/i-0"])
+
+    async def test_a_bad_configuration_leaves_the_one_before_in_force(self):
+        gateway = await self.start_gateway()
+        await self.store.put("op/config", {"Version": 5, "Routes": [{"Name": 1}]})
+        await self.store.put("op/version/m1", {"Model": "m1", "Version": 2})
+        await self.until(lambda: gateway.view.named.newest("m1") == 2)
+        self.assertEqual(gateway.view.configuration.version, 1)
+
+    async def test_an_older_configuration_changes_nothing(self):
+        gateway = await self.start_gateway()
+        await self.store.put("op/config", configuration(7))
+        await self.until(lambda: gateway.view.configuration.version == 7)
+        await self.store.put("op/config", configuration(6, Tenants=[]))
+        await self.store.put("op/version/m1", {"Model": "m1", "Version": 2})
+        await self.until(lambda: gateway.view.named.newest("m1") == 2)
+        self.assertEqual((await self.call(gateway, "/book/1", X_Key="no")).status, 401)
+
+    async def test_an_entry_that_turns_bad_names_no_server(self):
+        gateway = await self.start_gateway()
+        await self.store.put("servers/i-0", b"not JSON")
+        await self.until(lambda: gateway.view.servers == {})
+
+
+class ChangeTest(PlatformCase):
+    async def test_a_withdrawn_key_stops_on_a_kept_connection(self):
+        await self.store.put("op/config", configuration())
+        await self.start_worker("i-0", "desk")
+        gateway = await self.start_gateway()
+        host, _, port = gateway.settings.addresses.front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(self.request("/book/1"))
+        self.assertEqual((await read_answer(reader)).status, 200)
+        tenant = {"Name": "academy", "ApiKeys": ["another"]}
+        await self.store.put("op/config", configuration(2, Tenants=[tenant]))
+        await self.until(lambda: gateway.view.configuration.version == 2)
+        writer.write(self.request("/book/1"))
+        self.assertEqual((await read_answer(reader)).status, 401)
+        writer.close()
+
+    async def test_a_draining_server_gets_no_new_request(self):
+        await self.store.put("op/config", configuration())
+        leaving = await self.start_worker("i-0", "desk")
+        await self.start_worker("i-1", "desk")
+        gateway = await self.start_gateway()
+        leaving.state = "draining"
+        await self.register(leaving)
+        await self.until(lambda: self._knows_workers(gateway))
+        for _ in range(6):
+            self.assertEqual((await self.call(gateway, "/book/1")).status, 200)
+        self.assertEqual(leaving.ran, [])
+
+    async def test_a_route_moves_to_another_service(self):
+        await self.store.put("op/config", configuration())
+        await self.start_worker("i-0", "desk")
+        other = await self.start_worker("i-1", "annex")
+        gateway = await self.start_gateway()
+        routes = [route("book", "/book/", "unsafe", "annex")]
+        await self.store.put("op/config", configuration(2, Routes=routes))
+        await self.until(lambda: gateway.view.configuration.version == 2)
+        await self.call(gateway, "/book/1", attempt="b1")
+        self.assertEqual(other.ran, ["b1"])
+
+    async def test_a_customer_over_its_rate_is_refused_until_tokens_are_there(self):
+        tenant = {
+            "Name": "academy",
+            "ApiKeys": [KEY],
+            "Unit": "tokens",
+            "RatePerS": 10,
+            "Burst": 5000,
+            "PlainTokens": 400,
+        }
+        await self.store.put("op/config", configuration(Tenants=[tenant]))
+        worker = await self.start_worker("i-0", "desk")
+        gateway = await self.start_gateway()
+        answers = [await self.call(gateway, "/book/1") for _ in range(6)]
+        refused = [answer for answer in answers if answer.status == 429]
+        self.assertGreaterEqual(len(refused), 4)
+        self.assertTrue(all(float(a.headers["retry-after"]) > 0 for a in refused))
+        self.assertEqual(len(worker.ran), 6 - len(refused))
+
+
+class StopTest(PlatformCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.store.put("op/config", configuration())
+        await self.start_worker("i-0", "desk")
+
+    async def test_a_planned_stop_finishes_what_was_accepted(self):
+        gateway = await self.start_gateway(drain_s=2.0)
+        worker = self.workers["i-0"]
+        worker.behaviours = [Behaviour.SLOW]
+        call = asyncio.create_task(self.call(gateway, "/book/1", attempt="b1"))
+        await self.until(lambda: worker.ran)
+        gateway.stopping.set()
+        await self.until(lambda: gateway.front.leaving)
+        worker.released.set()
+        answer = await call
+        self.assertEqual((answer.status, answer.body), (200, b"answer to b1"))
+
+    async def test_a_stopping_instance_leaves_the_directory_and_the_store(self):
+        gateway = await self.start_gateway(drain_s=2.0)
+        await self.until(lambda: gateway.registration.present)
+        gateway.stopping.set()
+        await self.until(lambda: not self.instances())
+        self.assertFalse(gateway.ready)
+
+    async def test_settings_are_read_again_on_a_signal(self):
+        gateway = await self.start_gateway()
+        changed = GatewaySettings(
+            **{**vars(gateway.settings), "weights_within_s": 9.0, "drain_s": 3.0}
+        )
+        gateway.reload = lambda: changed
+        os.kill(os.getpid(), signal.SIGHUP)
+        await self.until(lambda: gateway.settings.drain_s == 3.0)
+        self.assertEqual((await self.call(gateway, "/book/1")).status, 200)
+
+    def instances(self):
+        return [k for k in self.store.items if k.startswith("cassiaford/instances/")]
+
+
+class OrdererTest(PlatformCase):
+    async def test_another_instance_takes_over_orders_after_a_planned_stop(self):
+        await self.store.put("op/config", configuration())
+        worker = await self.start_worker("i-0", "engine")
+        await self.store.put(f"op/version/{MODEL}", {"Model": MODEL, "Version": 2})
+        first = await self.start_gateway("entry-1", drain_s=1.0)
+        await self.until(lambda: worker.orders)
+        await self.register(worker)
+        second = await self.start_gateway("entry-2")
+        await self.until(lambda: first.orderer.fencing)
+        first.stopping.set()
+        await self.until(lambda: "cassiaford/orderer" not in self.store.items)
+        await self.store.put(f"op/version/{MODEL}", {"Model": MODEL, "Version": 3})
+        await self.until(lambda: len(worker.orders) == 2)
+        self.assertTrue(second.orderer.holds)
+        tokens = [order["FencingToken"] for order in worker.orders]
+        self.assertLess(tokens[0], tokens[1])
