--- a/src/cassiaford/gateway/_peer_codec.py
+++ b/src/cassiaford/gateway/_peer_codec.py
@@ -69,6 +69,7 @@
         entry.prefillMs = round(placed.prefill_s * 1000)
         entry.running = min(placed.running, 0xFFFF)
         entry.tokens = placed.tokens
+        entry.lagMs = round(placed.lag_s * 1000)
     spending = message.init("spending", len(report.spending))
     for entry, (customer, tokens) in zip(
         spending, report.spending.items(), strict=True
@@ -89,7 +90,9 @@
             state=_state(message) if message.whole else None,
             revision=message.revision,
             work={
-                w.server: PlacedWork(w.prefillMs / 1000, w.running, w.tokens)
+                w.server: PlacedWork(
+                    w.prefillMs / 1000, w.running, w.tokens, w.lagMs / 1000
+                )
                 for w in message.work
             },
             spending={s.customer: s.tokens for s in message.spending},
--- a/src/cassiaford/gateway/peers.capnp
+++ b/src/cassiaford/gateway/peers.capnp
@@ -8,6 +8,7 @@
   prefillMs @1 :UInt32;     # placed there since the sender's start
   running @2 :UInt16;
   tokens @3 :UInt32;        # of the requests running
+  lagMs @4 :Int16;          # first tokens came so much later than expected
 }
 
 struct Spending {
--- a/src/cassiaford/gateway/policy/_engine_book.py
+++ b/src/cassiaford/gateway/policy/_engine_book.py
@@ -21,12 +21,12 @@
 
 # Prompt tokens that an engine is taken to read in a second until it is known,
 # and the bounds of what is learned.
-PREFILL_TOKENS_PER_S = 70_000.0
+PREFILL_TOKENS_PER_S = 60_000.0
 SLOWEST_PREFILL = 15_000.0
 FASTEST_PREFILL = 500_000.0
 # How far one first token changes the speed, and the expected time from which
 # it says something of it.
-LEARNING_RATE = 0.06
+LEARNING_RATE = 0.1
 LEAST_TELLING_S = 0.02
 MOST_SURPRISE = 4.0
 # An answer is likely to be late if it is expected after this share of its
@@ -40,6 +40,8 @@
 REREAD_WEIGHT = 12.0
 # A copy from another engine takes a little time and memory that evicts others.
 COPY_WEIGHT = 1.0
+# Names this instance among those that saw an engine's lag.
+OWN = ""
 # The demand for engines is taken over about this time.
 DEMAND_S = 2.0
 # With all slots taken, a request waits for one to end.
@@ -56,6 +58,8 @@
 RANK_COST_S = 0.002
 LAG_WEIGHT = 0.3
 MAX_LAG_S = 1.0
+# What was seen of an engine's lag counts for this long.
+LAG_FRESH_S = 0.8
 
 
 @dataclass(frozen=True)
@@ -81,12 +85,13 @@
     """What a peer has placed on an engine.
 
     `prefill_s` adds up since the peer's start; `running` and `tokens` are of
-    this moment.
+    this moment. `lag_s` is by how much first tokens came later than expected.
     """
 
     prefill_s: float
     running: int
     tokens: int
+    lag_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -107,7 +112,9 @@
 @dataclass
 class _Engine:
     busy_until: float = 0.0
-    lag_s: float = 0.0
+    own_lag_s: float = 0.0
+    # By instance: the lag that it saw, and when that was heard.
+    lags: dict[str, tuple[float, float]] = field(default_factory=dict)
     placed_s: float = 0.0
     # By request: its tokens, when it was sent, and when it was to begin.
     own: dict[str, tuple[int, float, float]] = field(default_factory=dict)
@@ -118,6 +125,11 @@
     def running(self):
         return len(self.own) + sum(p.running for p in self.peers.values())
 
+    def lag_s(self, now):
+        """Return by how much first tokens of late came later than expected."""
+        fresh = [lag for lag, at in self.lags.values() if now - at < LAG_FRESH_S]
+        return max(0.0, sum(fresh) / len(fresh)) if fresh else 0.0
+
     @property
     def tokens(self):
         return self.own_tokens + sum(p.tokens for p in self.peers.values())
@@ -183,7 +195,7 @@
         engine.placed_s += placement.prefill_s
         self._note_work(placement.prefill_s, now)
         tokens = request.prompt_tokens + request.output_tokens
-        first_s = placement.first_token_s - max(0.0, engine.lag_s)
+        first_s = placement.first_token_s - engine.lag_s(now)
         engine.own[request.request_id] = (tokens, now, first_s)
         engine.own_tokens += tokens
         self.homes.placed(request, placement.engine.key, now)
@@ -198,7 +210,9 @@
         sent_at, first_s = engine.own[request_id][1:]
         lag = now - sent_at - first_s
         self._learn(now - sent_at, first_s)
-        engine.lag_s += LAG_WEIGHT * (min(lag, MAX_LAG_S) - engine.lag_s)
+        surprise = min(lag, MAX_LAG_S) - engine.own_lag_s
+        engine.own_lag_s += LAG_WEIGHT * surprise
+        engine.lags[OWN] = (engine.own_lag_s, now)
         if lag < 0:
             engine.busy_until = max(now, engine.busy_until + lag)
 
@@ -225,6 +239,8 @@
             engine = self._engine(key)
             before = engine.peers.get(peer)
             engine.peers[peer] = placed
+            if before is None or placed.lag_s != before.lag_s:
+                engine.lags[peer] = (placed.lag_s, now)
             if before is not None and placed.prefill_s > before.prefill_s:
                 added = placed.prefill_s - before.prefill_s
                 engine.busy_until = max(now, engine.busy_until) + added
@@ -238,13 +254,15 @@
         """Forget the requests of a peer that is gone; its work still counts."""
         for engine in self.engines.values():
             engine.peers.pop(peer, None)
+            engine.lags.pop(peer, None)
 
     def emptied(self, key: Hashable) -> None:
         """Forget what an engine kept, after new weights or a restart."""
         engine = self.engines.get(key)
         self.homes.emptied(key)
         if engine is not None:
-            engine.lag_s = 0.0
+            engine.own_lag_s = 0.0
+            engine.lags.clear()
 
     def keep(self, keys: set[Hashable]) -> None:
         """Forget all engines but these and those that still run requests."""
@@ -255,7 +273,7 @@
     def own_work(self) -> dict[Hashable, PlacedWork]:
         """Return what this instance has placed, by engine."""
         return {
-            key: PlacedWork(e.placed_s, len(e.own), e.own_tokens)
+            key: PlacedWork(e.placed_s, len(e.own), e.own_tokens, e.own_lag_s)
             for key, e in self.engines.items()
             if e.placed_s or e.own
         }
@@ -317,8 +335,7 @@
         wait_s = max(0.0, engine.busy_until - now)
         if running >= view.slots:
             wait_s += SLOT_WAIT_S * (1 + (running - view.slots) / view.slots)
-        lag_s = max(0.0, engine.lag_s)
-        first_s = FIRST_TOKEN_S + wait_s + prefill_s + lag_s
+        first_s = FIRST_TOKEN_S + wait_s + prefill_s + engine.lag_s(now)
         cost = first_s + view.cost_s + rank * RANK_COST_S
         if request.target_s:
             late_s = first_s - ON_TIME_SHARE * request.target_s
