--- a/bench/_stream_engine.py
+++ b/bench/_stream_engine.py
@@ -8,7 +8,7 @@
 TOKEN_INTERVAL_S = 0.06
 HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-    b"Transfer-Encoding: chunked\r\n\r\n"
+    b"Transfer-Encoding: chunked\r\n"
 )
 EVENT = (
     b'data: {"id": "cmpl-1", "object": "text_completion", "model": "tare", '
@@ -16,6 +16,7 @@
     b'"sent_ns": %d}\n\n'
 )
 LENGTH = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
+ATTEMPT = re.compile(rb"x-attempt-id: ([^\r]+)", re.IGNORECASE)
 MAX_TOKENS = re.compile(rb'"max_tokens": (\d+)')
 
 
@@ -36,7 +37,7 @@
         self.left = int(MAX_TOKENS.search(body)[1])
         self.loop = asyncio.get_running_loop()
         self.due = self.loop.time()
-        self._send_token(HEAD)
+        self._send_token(HEAD + _signature(head) + b"\r\n")
 
     def _send_token(self, head=b""):
         if self.transport.is_closing():
@@ -55,6 +56,14 @@
         self.loop.call_at(self.due, self._send_token)
 
 
+def _signature(head):
+    """Return what an engine of the users' platform adds to its answer."""
+    attempt = ATTEMPT.search(head)
+    if attempt is None:
+        return b""
+    return b"X-Attempt-Id: %b\r\nX-Response-Seal: seal\r\n" % attempt[1]
+
+
 async def serve():
     """Serve until standard input ends; print the port first."""
     loop = asyncio.get_running_loop()
--- a/bench/_stream_load.py
+++ b/bench/_stream_load.py
@@ -1,6 +1,7 @@
 """Callers that read streams and measure when their tokens come."""
 
 import asyncio
+import itertools
 import json
 import random
 import re
@@ -10,6 +11,12 @@
 from hdrh.histogram import HdrHistogram
 
 PROMPT = "binder " * 300
+# For the gateway; the others pass them by.
+PLATFORM_HEADERS = (
+    "Host: a.example\r\nX-Model: tare\r\nX-Token-Count: 300,150\r\n"
+    "X-Prompt-Prefix: aa:200,bb:100\r\nConnection: close\r\n"
+)
+NUMBERS = itertools.count()
 SENT = re.compile(rb'"sent_ns": (\d+)')
 MAX_US = 60_000_000
 SIGNIFICANT_DIGITS = 3
@@ -46,7 +53,11 @@
         """Send the request."""
         document = {"model": "tare", "prompt": PROMPT, "stream": True}
         body = json.dumps({**document, "max_tokens": self.expected}).encode()
-        head = f"POST /v1/completions HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n"
+        number = next(NUMBERS)
+        head = (
+            f"POST /v1/completions HTTP/1.1\r\nContent-Length: {len(body)}\r\n"
+            f"{PLATFORM_HEADERS}X-Attempt-Id: a{number}\r\n\r\n"
+        )
         transport.write(head.encode() + body)
 
     def data_received(self, data):
--- a/src/cassiaford/gateway/_server_connection.py
+++ b/src/cassiaford/gateway/_server_connection.py
@@ -22,6 +22,9 @@
 KEEP_ALIVE_PROBES = (1, 1, 2)
 # A kept connection is not used in the last part of its server's time-out.
 IDLE_MARGIN_S = 1.0
+# A server may close a connection right after an answer without saying so; the
+# word of it takes a round trip within the region.
+REST_S = 0.01
 # For servers that state no time-out.
 DEFAULT_IDLE_S = 4.0
 
@@ -65,6 +68,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.usable = True
         self.idle_until = 0.0
+        self.rested_at = 0.0
         self._waiter: asyncio.Future | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered = 0
@@ -215,6 +219,7 @@
             self.close()
             return False
         self.idle_until = self.loop.time() + self._idle_s()
+        self.rested_at = self.loop.time() + REST_S
         return self.idle_until > self.loop.time()
 
     def close(self) -> None:
@@ -274,15 +279,22 @@
 
     def kept(self, address: str) -> ServerConnection | None:
         """Return a kept connection that is still good, or None."""
-        connections = self.idle.get(address)
         now = asyncio.get_running_loop().time()
-        while connections:
-            connection = connections.pop()
-            if connection.usable and connection.idle_until > now:
-                return connection
-            connection.close()
+        connections = self._good(address, now)
+        for index in reversed(range(len(connections))):
+            if connections[index].rested_at <= now:
+                return connections.pop(index)
         return None
 
+    def _good(self, address, now):
+        """Return the kept connections to an address, and close the others."""
+        connections = self.idle.get(address, [])
+        for connection in tuple(connections):
+            if not connection.usable or connection.idle_until <= now:
+                connections.remove(connection)
+                connection.close()
+        return connections
+
     async def connect(
         self, address: str, time_out_s: float = CONNECT_TIME_OUT_S
     ) -> ServerConnection:
@@ -325,13 +337,8 @@
     def sweep(self) -> None:
         """Close the connections that were kept for long enough."""
         now = asyncio.get_running_loop().time()
-        for address, connections in tuple(self.idle.items()):
-            kept = [c for c in connections if c.usable and c.idle_until > now]
-            for connection in set(connections) - set(kept):
-                connection.close()
-            if kept:
-                self.idle[address] = kept
-            else:
+        for address in tuple(self.idle):
+            if not self._good(address, now):
                 del self.idle[address]
 
 
--- a/src/cassiaford/gateway/policy/_registry.py
+++ b/src/cassiaford/gateway/policy/_registry.py
@@ -52,7 +52,8 @@
         if key not in self.servers:
             return
         if self.store_away or now < self.settled_at:
-            self.missing_until[key] = max(self.settled_at, now + RETURN_WITHIN_S)
+            # While the store is away, its return sets the time.
+            self.missing_until[key] = self.settled_at
         else:
             self._drop(key)
 
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -27,6 +27,7 @@
     CROSSED_FIRST = "an answer to another request before its own"
     UNSIGNED = "a success without signature"
     UNFRAMED = "a body that ends with its connection"
+    CLOSE_AFTER = "an answer, then the end of the connection without a word"
     GARBAGE = "bytes that are no answer"
 
 
@@ -162,6 +163,10 @@
         if behaviour is Behaviour.EXTRA:
             writer.write(answer_bytes(200, own, b"once more"))
         await writer.drain()
+        if behaviour is Behaviour.CLOSE_AFTER:
+            # Long enough for a next request to be on its way.
+            await asyncio.sleep(0.005)
+            return False
         return True
 
     async def _stream(self, behaviour, call, own, writer):
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -359,6 +359,14 @@
         registry.expire(now=20.0)
         self.assertEqual(list(registry.servers), ["servers/a"])
 
+    def test_an_entry_removed_after_an_outage_is_gone_in_time(self):
+        registry = ServerRegistry()
+        registry.put("servers/a", BackendServer("a", "s", "10.0.0.1:80", "x", 8))
+        registry.store_returned(now=10.0)
+        registry.remove("servers/a", now=11.4)
+        # It may have left by itself, and then gets no request for long.
+        self.assertTrue(registry.expire(now=12.3))
+
     def test_an_entry_that_lapses_while_the_store_is_away_waits_for_it(self):
         registry = ServerRegistry()
         registry.put("servers/a", BackendServer("a", "s", "10.0.0.1:80", "x", 8))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -116,6 +116,12 @@
             answer = await self.call(gateway, "/book/1", attempt=attempt)
             self.assertEqual(answer.body, f"answer to {attempt}".encode())
 
+    async def test_a_connection_that_ends_without_a_word_costs_no_booking(self):
+        gateway = await self.start("desk")
+        self.workers["i-0"].behaviours = [Behaviour.CLOSE_AFTER] * 30
+        statuses = [(await self.call(gateway, "/book/1")).status for _ in range(30)]
+        self.assertEqual(statuses, [200] * 30)
+
     async def test_an_answer_without_length_is_whole_at_its_end(self):
         gateway = await self.start("desk")
         self.workers["i-0"].behaviours = [Behaviour.UNFRAMED]
