--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from cassiaford.gateway._beliefs import Placer
@@ -28,6 +29,16 @@
 SPREAD = 0.5
 
 
+@dataclass(frozen=True)
+class _Rejected:
+    """A request that is refused before it is placed, as far as it was read."""
+
+    refusal: Refusal
+    request_id: str = ""
+    route: str = ""
+    customer: str = ""
+
+
 class Front(RequestHandler):
     """Answers the requests of callers."""
 
@@ -78,8 +89,8 @@
         job = None
         try:
             admitted = self._admit(request, connection)
-            if isinstance(admitted, Refusal):
-                self._refuse(connection, admitted, None)
+            if isinstance(admitted, _Rejected):
+                self._reject(connection, admitted)
                 return
             job = admitted
             self._log_admitted(job)
@@ -95,26 +106,25 @@
             self.in_progress -= 1
 
     def _admit(self, request, connection):
-        """Return the job of a request, or its refusal."""
-        configuration = self.view.configuration
-        if self.refusing:
-            message = "the instance is stopping"
-            return refuse(RefusalReason.STOPPING, message, 0.0)
-        if configuration is None:
-            message = "the instance has no configuration yet"
-            return refuse(RefusalReason.STARTING, message, SHORTLY_S)
+        """Return the job of a request, or why it is rejected."""
         try:
             facts = self.dialect.read_request(request)
         except MalformedError as error:
-            return refuse(RefusalReason.BAD_REQUEST, str(error))
+            return _Rejected(refuse(RefusalReason.BAD_REQUEST, str(error)))
+        refusal = self._unready()
+        if refusal is not None:
+            return _Rejected(refusal, facts.attempt_id)
+        configuration = self.view.configuration
         route = self.view.routes.find(facts.host, request.path)
         if route is None:
-            return refuse(RefusalReason.UNKNOWN_ROUTE, "no route has this prefix")
+            refusal = refuse(RefusalReason.UNKNOWN_ROUTE, "no route has this prefix")
+            return _Rejected(refusal, facts.attempt_id)
         customer = None
         if configuration.customers and not route.public:
             customer = configuration.customers_by_key.get(facts.key or "")
             if customer is None:
-                return refuse(RefusalReason.INVALID_KEY, "no customer has this key")
+                refusal = refuse(RefusalReason.INVALID_KEY, "no customer has this key")
+                return _Rejected(refusal, facts.attempt_id, route.name)
         allowed_s = route.time_out_s
         if facts.deadline_s is not None:
             allowed_s = min(allowed_s, facts.deadline_s)
@@ -128,7 +138,20 @@
             ends_at=request.received_at + allowed_s,
         )
         self._budget(job.service)
-        return self._charge(job) or job
+        refusal = self._charge(job)
+        if refusal is not None:
+            return _Rejected(refusal, facts.attempt_id, route.name, customer.name)
+        return job
+
+    def _unready(self):
+        """Return the refusal of all requests, if the instance serves none."""
+        if self.refusing:
+            message = "the instance is stopping"
+            return refuse(RefusalReason.STOPPING, message, 0.0)
+        if self.view.configuration is None:
+            message = "the instance has no configuration yet"
+            return refuse(RefusalReason.STARTING, message, SHORTLY_S)
+        return None
 
     def _charge(self, job):
         """Take the request's tokens; return the refusal if there are too few."""
@@ -159,29 +182,36 @@
 
     def _refuse(self, connection, refusal, job):
         """Send a refusal, or break off an answer that has begun."""
-        if job is not None and refusal.verdict is Verdict.NOT_RUN and job.customer:
+        if refusal.verdict is Verdict.NOT_RUN and job.customer:
             now = self.loop.time()
             self.rates.refund(job.customer.name, self._tokens(job), now)
         if connection.head_sent:
             connection.abort()
         else:
-            headers = []
-            if refusal.retry_after_s is not None:
-                headers.append(("Retry-After", f"{refusal.retry_after_s:.3f}"))
-            connection.send(refusal.reason.status, headers)
-        self.metrics.count(Counter.REFUSALS, Label("reason", refusal.reason.code))
-        if job is None:
-            self._log_refused(refusal)
+            self._send_refusal(connection, refusal)
 
-    def _log_refused(self, refusal):
+    def _reject(self, connection, rejected):
+        """Send the refusal of a request that was not admitted."""
+        refusal = rejected.refusal
+        self._send_refusal(connection, refusal)
         self.log.write(
             Event.REQUEST_REFUSED,
+            request_id=rejected.request_id,
+            route=rejected.route,
+            customer=rejected.customer,
             reason=refusal.reason.code,
             verdict=refusal.verdict.value,
             cause=refusal.message,
             retry_after_s=refusal.retry_after_s,
         )
 
+    def _send_refusal(self, connection, refusal):
+        headers = []
+        if refusal.retry_after_s is not None:
+            headers.append(("Retry-After", f"{refusal.retry_after_s:.3f}"))
+        connection.send(refusal.reason.status, headers)
+        self.metrics.count(Counter.REFUSALS, Label("reason", refusal.reason.code))
+
     def _log_admitted(self, job):
         self.metrics.count(Counter.REQUESTS, Label("route", job.route.name))
 
--- a/src/cassiaford/timeline/__init__.py
+++ b/src/cassiaford/timeline/__init__.py
@@ -10,6 +10,7 @@
     record_document,
 )
 from cassiaford.timeline._journal import Detail, Journal, Record, Subject
+from cassiaford.timeline._log_lines import read_log_lines
 from cassiaford.timeline._render import html_page, text_line
 
 __all__ = [
@@ -25,6 +26,7 @@
     "html_page",
     "merge",
     "parse_record",
+    "read_log_lines",
     "record_document",
     "text_line",
 ]
