--- a/bench/_stream_gateway.py
+++ b/bench/_stream_gateway.py
@@ -20,6 +20,10 @@
 from cassiaford.platform import create_world
 from tests.platform_case import configuration, free_port, route
 
+# Room for every stream at once, so that none is refused.
+ENGINE = {"Slots": 512, "KvCapacityTokens": 10_000_000, "Models": [{"Name": "tare"}]}
+SERVICE = {"Name": "engine", "MaxConnections": 512, "Engine": ENGINE}
+
 
 class StillStore(SharedStore):
     """Holds one configuration and one engine, and never changes."""
@@ -28,6 +32,7 @@
         self.items = {
             "op/config": configuration(
                 Routes=[route("ask", "/v1/", "streaming", "engine", TimeoutMs=60_000)],
+                Services=[SERVICE],
                 Tenants=[],
             ),
             "servers/e1": {
--- a/src/cassiaford/gateway/__init__.py
+++ b/src/cassiaford/gateway/__init__.py
@@ -4,6 +4,7 @@
 implements for the platform that it runs on.
 """
 
+from cassiaford._hop_by_hop import HOP_BY_HOP
 from cassiaford.gateway._configuration import (
     CallerLimits,
     Configuration,
@@ -30,10 +31,9 @@
     OtherServerError,
     VersionOrder,
 )
-from cassiaford.gateway._gateway import Gateway, GatewayWorld
+from cassiaford.gateway._gateway import Gateway
 from cassiaford.gateway._http_caller import CallFailedError, HttpCaller, Reply
 from cassiaford.gateway._messages import (
-    HOP_BY_HOP,
     BackendServer,
     Forwarding,
     Headers,
@@ -64,6 +64,7 @@
     StoreRefusedError,
     Write,
 )
+from cassiaford.gateway._world import GatewayWorld
 
 __all__ = [
     "HOP_BY_HOP",
--- a/src/cassiaford/gateway/_caller_connection.py
+++ b/src/cassiaford/gateway/_caller_connection.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 import httptools
@@ -298,6 +297,3 @@
         backlog=512,
         reuse_address=True,
     )
-
-
-Handle = Callable[[HttpRequest, CallerConnection], Awaitable[None]]
--- a/src/cassiaford/gateway/_dialect.py
+++ b/src/cassiaford/gateway/_dialect.py
@@ -1,7 +1,6 @@
 """What a gateway needs translated between itself and its surroundings."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Mapping
 
 from cassiaford.gateway._configuration import Configuration
 from cassiaford.gateway._messages import (
@@ -77,6 +76,3 @@
     @abstractmethod
     def requested(self, target: str) -> bool:
         """Return whether a target is that probe."""
-
-
-JsonDocument = Mapping[str, object]
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -12,12 +12,12 @@
     last_event_id,
     without_framing,
 )
-from cassiaford.gateway._beliefs import Choice, Placer, urgency_of
 from cassiaford.gateway._caller_connection import CallerConnection
 from cassiaford.gateway._configuration import Customer, RequestKind, Route
 from cassiaford.gateway._dialect import Dialect
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._messages import Forwarding, HttpRequest, RequestFacts
+from cassiaford.gateway._placer import Choice, Placer, urgency_of
 from cassiaford.gateway._prober import ServerProber
 from cassiaford.gateway._server_connection import ConnectionPool, ExchangeError
 from cassiaford.gateway._view import View
--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -4,15 +4,14 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from http import HTTPStatus
 
-from cassiaford.gateway._beliefs import Placer
 from cassiaford.gateway._caller_connection import CallerConnection, RequestHandler
 from cassiaford.gateway._configuration import CallerLimits, choose_service
 from cassiaford.gateway._dialect import Dialect, MalformedError
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._exchange import Exchange, ExchangeParts, Job
 from cassiaford.gateway._messages import HttpRequest
+from cassiaford.gateway._placer import Placer
 from cassiaford.gateway._prober import ServerProber
 from cassiaford.gateway._server_connection import ConnectionPool
 from cassiaford.gateway._settings import ResendLimits
@@ -251,66 +250,3 @@
             "took_s": round(took_s, 3),
             "verdict": job.verdict.value,
         }
-
-
-class ProbeHandler(RequestHandler):
-    """Answers whether the instance is ready."""
-
-    def __init__(self, requested: Callable[[str], bool], ready: Callable[[], bool]):
-        self.requested = requested
-        self.ready = ready
-
-    @property
-    def limits(self) -> CallerLimits:
-        """What a caller may send."""
-        return CallerLimits()
-
-    @property
-    def closing(self) -> bool:
-        """Whether connections are to be closed after their answers."""
-        return False
-
-    async def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
-        """Answer one probe."""
-        if not self.requested(request.target):
-            connection.send(HTTPStatus.NOT_FOUND, [])
-        elif self.ready():
-            connection.send(HTTPStatus.OK, [])
-        else:
-            connection.send(HTTPStatus.SERVICE_UNAVAILABLE, [])
-
-
-class BodyHandler(RequestHandler):
-    """Answers every proper request with a body made at that moment."""
-
-    def __init__(
-        self,
-        requested: Callable[[str], bool],
-        body: Callable[[str], bytes | None],
-        content_type: str,
-    ):
-        self.requested = requested
-        self.body = body
-        self.content_type = content_type
-
-    @property
-    def limits(self) -> CallerLimits:
-        """What a caller may send."""
-        return CallerLimits()
-
-    @property
-    def closing(self) -> bool:
-        """Whether connections are to be closed after their answers."""
-        return False
-
-    async def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
-        """Answer one request; 503 where there is nothing to tell."""
-        if not self.requested(request.target):
-            connection.send(HTTPStatus.NOT_FOUND, [])
-            return
-        body = self.body(request.target)
-        if body is None:
-            connection.send(HTTPStatus.SERVICE_UNAVAILABLE, [])
-        else:
-            headers = [("Content-Type", self.content_type)]
-            connection.send(HTTPStatus.OK, headers, body)
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -9,33 +9,23 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from cassiaford.gateway._beliefs import Placer
 from cassiaford.gateway._caller_connection import CallerConnection, listen
-from cassiaford.gateway._dialect import (
-    Dialect,
-    Directory,
-    MalformedError,
-    ReadinessProbe,
-    Records,
-)
-from cassiaford.gateway._engine_control import EngineControl
+from cassiaford.gateway._copies import StoreCopies
+from cassiaford.gateway._dialect import MalformedError
 from cassiaford.gateway._event_log import EventLog
-from cassiaford.gateway._front import BodyHandler, Front, ProbeHandler
-from cassiaford.gateway._http_caller import CallFailedError, HttpCaller
+from cassiaford.gateway._front import Front
+from cassiaford.gateway._gauges import gauges
 from cassiaford.gateway._mirror import Mirror, MirrorSync, Section
 from cassiaford.gateway._orders import Orderer
-from cassiaford.gateway._peer_codec import (
-    PeerMessageError,
-    decode_snapshot,
-    encode_snapshot,
-)
 from cassiaford.gateway._peers import PeerReports
+from cassiaford.gateway._placer import Placer
+from cassiaford.gateway._plain_handlers import BodyHandler, ProbeHandler
 from cassiaford.gateway._prober import ServerProber
 from cassiaford.gateway._registration import Registration, decode_entry
-from cassiaford.gateway._server_connection import ConnectionPool
 from cassiaford.gateway._settings import GatewaySettings
-from cassiaford.gateway._store import Change, SharedStore
+from cassiaford.gateway._store import Change
 from cassiaford.gateway._view import View
+from cassiaford.gateway._world import GatewayWorld
 from cassiaford.gateway.policy import (
     EngineBook,
     FleetRates,
@@ -58,10 +48,6 @@
 HOUSEKEEPING_S = 0.2
 # A machine whose clock that counts suspensions is ahead by this was suspended.
 SUSPENDED_S = 0.3
-# A peer's copy of the store is asked for at most this often.
-COPY_EVERY_S = 0.4
-COPY_TIME_OUT_S = 0.8
-COPY_TARGET = "/mirror"
 METRICS_TARGET = "/metrics"
 # Of a planned stop: callers learn of it, then new requests are refused, then
 # the process ends once nothing is in progress.
@@ -72,28 +58,6 @@
 WEIGHTS_MARGIN_S = 1.0
 
 
-class GatewayWorld:
-    """What a gateway is given: translations and connections."""
-
-    def __init__(
-        self,
-        dialect: Dialect,
-        records: Records,
-        directory: Directory,
-        probe: ReadinessProbe,
-        store: SharedStore,
-        control: EngineControl,
-        pool: ConnectionPool,
-    ):
-        self.dialect = dialect
-        self.records = records
-        self.directory = directory
-        self.probe = probe
-        self.store = store
-        self.control = control
-        self.pool = pool
-
-
 class Gateway:
     """Serves callers until it is told to stop.
 
@@ -132,8 +96,6 @@
         self._create_store_parts()
         self._create_peers()
         self._create_front()
-        self._copied_at = -COPY_EVERY_S
-        self._copying: asyncio.Task | None = None
         self._tasks: list[asyncio.Task] = []
 
     def _create_decisions(self):
@@ -190,7 +152,8 @@
         self.orderer.unreachable = lambda: self.prober.unreachable
         self.peers.on_unreachable = self.prober.heard
         self.peers.revision = lambda: self.mirror.revision
-        self.peers.on_newer = self._peer_is_newer
+        self.copies = StoreCopies(self.mirror, self.sync, self.world.pool, self.log)
+        self.peers.on_newer = self.copies.peer_is_newer
 
     def _create_front(self):
         settings = self.settings
@@ -294,8 +257,8 @@
             world.directory.requested, self._directory_body, "application/json"
         )
         copies = BodyHandler(
-            lambda target: target == COPY_TARGET,
-            self._copy_body,
+            self.copies.requested,
+            self.copies.body,
             "application/octet-stream",
         )
         metrics = BodyHandler(
@@ -416,53 +379,11 @@
             return False
         return self.sync.lost_at is None or self.sync.lost_at < moment
 
-    # Copies of the store, for peers that it does not answer.
-
-    def _peer_is_newer(self, peer: PeerState, revision: int):
-        if self.sync.reachable:
-            return
-        now = self.loop.time()
-        if now - self._copied_at >= COPY_EVERY_S:
-            self._copied_at = now
-            self._copying = self.loop.create_task(self._copy_from(peer))
-
-    async def _copy_from(self, peer):
-        caller = HttpCaller(self.world.pool)
-        try:
-            reply = await caller.call(
-                "GET", peer.peer_address, COPY_TARGET, COPY_TIME_OUT_S
-            )
-            if reply.status == 200 and self.mirror.adopt(decode_snapshot(reply.body)):
-                self.log.write(Event.COPY_TAKEN, peer=peer.name)
-        except (CallFailedError, PeerMessageError) as error:
-            self.log.write(Event.PEER_MESSAGE_DROPPED, peer=peer.name, cause=str(error))
-
-    def _copy_body(self, target):
-        return encode_snapshot(self.mirror.copies()) if self.mirror.complete else None
-
     def _metrics_body(self, target):
-        now = self.loop.time()
-        for name, value in self._gauges(now):
+        for name, value in gauges(self, self.loop.time()):
             self.metrics.set_gauge(f"cassiaford_{name}", value)
         return self.metrics.render().encode()
 
-    def _gauges(self, now):
-        sync = self.sync
-        configuration = self.view.configuration
-        yield "configuration_version", configuration.version if configuration else 0
-        yield "store_reachable", float(sync.reachable)
-        yield "store_heard_age_seconds", now - (sync.heard_at or 0.0)
-        yield "peers_live", len(self.table.live(now))
-        yield "peers_expected", len(self.table.expected())
-        yield "requests_in_progress", self.front.in_progress
-        yield "caller_connections", len(self.connections)
-        yield "server_connections_opened_total", self.world.pool.opened
-        yield "servers_unreachable", len(self.prober.unreachable)
-        yield "engines_out_of_use", len(self.placer.held)
-        yield "prefill_tokens_per_second", self.engines.prefill_tokens_per_s
-        yield "engines_demanded", self.engines.demand(now)
-        yield "log_lines_dropped", self.log.dropped
-
     # The directory.
 
     def _directory_body(self, target):
--- /dev/null
+++ b/src/cassiaford/gateway/_gauges.py
@@ -0,0 +1,22 @@
+"""The gauges of a gateway: ages of beliefs, load, what is out of use."""
+
+from collections.abc import Iterator
+
+
+def gauges(gateway, now: float) -> Iterator[tuple[str, float]]:
+    """Yield the names and values of a gateway's gauges."""
+    sync = gateway.sync
+    configuration = gateway.view.configuration
+    yield "configuration_version", configuration.version if configuration else 0
+    yield "store_reachable", float(sync.reachable)
+    yield "store_heard_age_seconds", now - (sync.heard_at or 0.0)
+    yield "peers_live", len(gateway.table.live(now))
+    yield "peers_expected", len(gateway.table.expected())
+    yield "requests_in_progress", gateway.front.in_progress
+    yield "caller_connections", len(gateway.connections)
+    yield "server_connections_opened_total", gateway.world.pool.opened
+    yield "servers_unreachable", len(gateway.prober.unreachable)
+    yield "engines_out_of_use", len(gateway.placer.held)
+    yield "prefill_tokens_per_second", gateway.engines.prefill_tokens_per_s
+    yield "engines_demanded", gateway.engines.demand(now)
+    yield "log_lines_dropped", gateway.log.dropped
--- a/src/cassiaford/gateway/_messages.py
+++ b/src/cassiaford/gateway/_messages.py
@@ -4,21 +4,6 @@
 
 Headers = list[tuple[str, str]]
 
-# Headers that concern one connection only (RFC 9110, section 7.6.1).
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
 
 @dataclass(frozen=True)
 class HttpRequest:
--- a/src/cassiaford/gateway/_beliefs.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -1,11 +1,11 @@
-"""What a gateway counts and remembers to place requests by."""
+"""Choosing backend servers by what the gateway believes of them."""
 
 import random
 from dataclasses import dataclass
 
 from cassiaford.gateway._configuration import Customer, EngineSpec, Route
 from cassiaford.gateway._messages import BackendServer, RequestFacts
-from cassiaford.gateway._view import View, digest
+from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import (
     EngineBook,
     EngineView,
@@ -243,6 +243,3 @@
     if customer is not None and customer.priority is not None:
         return customer.priority
     return route.priority
-
-
-__all__ = ["Choice", "Placer", "digest", "urgency_of"]
--- /dev/null
+++ b/src/cassiaford/gateway/_world.py
@@ -0,0 +1,21 @@
+"""What a gateway is given by the adapter of the platform that it runs on."""
+
+from dataclasses import dataclass
+
+from cassiaford.gateway._dialect import Dialect, Directory, ReadinessProbe, Records
+from cassiaford.gateway._engine_control import EngineControl
+from cassiaford.gateway._server_connection import ConnectionPool
+from cassiaford.gateway._store import SharedStore
+
+
+@dataclass
+class GatewayWorld:
+    """Translations and connections."""
+
+    dialect: Dialect
+    records: Records
+    directory: Directory
+    probe: ReadinessProbe
+    store: SharedStore
+    control: EngineControl
+    pool: ConnectionPool
--- a/src/cassiaford/pipeline/_response.py
+++ b/src/cassiaford/pipeline/_response.py
@@ -5,8 +5,8 @@
 
 import httptools
 
+from cassiaford._hop_by_hop import HOP_BY_HOP
 from cassiaford.pipeline._messages import Header
-from cassiaford.pipeline._upstream import HOP_BY_HOP
 
 # Statuses below this are interim answers; another one follows.
 FIRST_FINAL_STATUS = 200
--- a/src/cassiaford/pipeline/_upstream.py
+++ b/src/cassiaford/pipeline/_upstream.py
@@ -7,6 +7,7 @@
 import json
 from dataclasses import dataclass, field, replace
 
+from cassiaford._hop_by_hop import HOP_BY_HOP
 from cassiaford.pipeline._answers import JSON_TYPE, REQUEST_ID_HEADER
 from cassiaford.pipeline._messages import AdmittedRequest, ServiceClass
 
@@ -15,17 +16,6 @@
 RESUME_HEADER = "X-Resume-Offset"
 NOT_STARTED_HEADER = "x-not-started"
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 SECRET = frozenset(
     {"authorization", "proxy-authorization", "api-key", "x-api-key", "cookie"}
 )
