--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -297,11 +297,12 @@
         """Return the refusal of a request that no server can take in time."""
         if self.job.sends:
             return self._failed()
-        wait_s = self.parts.placer.back_in(self.job.service, now)
+        job = self.job
+        placer = self.parts.placer
         return refuse(
             RefusalReason.NO_BACKEND,
-            "no backend server can take the request in time",
-            self._return_after(wait_s),
+            placer.explain(job.service, job.facts, job.tried, now),
+            self._return_after(placer.back_in(job.service, now)),
         )
 
     def _return_after(self, wait_s):
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -141,6 +141,18 @@
         servers = self.view.servers.get(service, {})
         return min((self.trust.back_in(key, now) for key in servers), default=1.0)
 
+    def explain(self, service: str, facts: RequestFacts, tried: set[int], now: float):
+        """Return why no server of a service was chosen, for the log."""
+        servers = self.view.servers.get(service, {})
+        away = sum(self.trust.away(key, now) for key in servers)
+        overdue = sum(self._weights_overdue(s, facts, now) for s in servers.values())
+        return (
+            f"of {len(servers)} servers {len(tried & set(servers))} were tried,"
+            f" {away} are left alone after failures, {overdue} have weights that"
+            " were replaced too long ago; the others have no room or would begin"
+            " too late"
+        )
+
     def _choose_engine(self, servers, facts, customer, target_s, now):
         spec = _engine_spec(self.view.configuration, servers)
         free = {key: s for key, s in servers.items() if key not in self.held}
