--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -222,8 +222,10 @@
         reader = EventReader(answer)
         # A stream that cannot go on elsewhere is waited for.
         gap_s = STREAM_GAP_S if job.route.resumable else None
+        begun = False
         while events := await reader.next(gap_s):
-            if job.first_s is None or job.sends > 1:
+            if not begun:
+                begun = True
                 now = self.loop.time()
                 self.parts.placer.first_token(choice, job.facts, now)
             self._send_events(answer, events)
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -20,7 +20,7 @@
 from cassiaford.gateway._peers import PeerReports
 from cassiaford.gateway._placer import Placer
 from cassiaford.gateway._plain_handlers import BodyHandler, ProbeHandler
-from cassiaford.gateway._prober import ServerProber
+from cassiaford.gateway._prober import PrefixStoreProber, ServerProber
 from cassiaford.gateway._registration import Registration, decode_entry
 from cassiaford.gateway._settings import GatewaySettings
 from cassiaford.gateway._store import Change
@@ -150,6 +150,7 @@
         )
         self.prober = ServerProber(self.view, self.trust, self.world.pool, self.log)
         self.orderer.unreachable = lambda: self.prober.unreachable
+        self.store_prober = PrefixStoreProber(self.view, self.world.pool, self.log)
         self.peers.on_unreachable = self.prober.heard
         self.peers.revision = lambda: self.mirror.revision
         self.copies = StoreCopies(self.mirror, self.sync, self.world.pool, self.log)
@@ -195,6 +196,7 @@
             self.registration.run,
             self.orderer.run,
             self.peers.run,
+            self.store_prober.run,
             self._keep_house,
         )
         self._tasks = [self.loop.create_task(self._keep_going(p)) for p in parts]
@@ -333,6 +335,7 @@
         self.peers.held = self.orderer.held
         self.peers.unreachable = self.prober.unreachable
         self.placer.held = self.peers.all_held()
+        self.placer.stores_away = self.store_prober.away
 
     def _forget_peer(self, name):
         self.log.write(Event.MEMBER_LOST, peer=name)
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -76,7 +76,7 @@
         self.weights_due_s = weights_due_s
         self.rng = rng
         self.held: frozenset[int] = frozenset()
-        self.stores_away: set[str] = set()
+        self.stores_away: frozenset[str] = frozenset()
         self.store_steady = lambda since: True
 
     def choose(
@@ -110,7 +110,13 @@
             return None
         return Choice(chosen.key, servers[chosen.key])
 
-    def started(self, choice: Choice, facts: RequestFacts, customer, now: float):
+    def started(
+        self,
+        choice: Choice,
+        facts: RequestFacts,
+        customer: Customer | None,
+        now: float,
+    ) -> None:
         """Take note of a request that is sent."""
         if choice.placement is None:
             self.services.started(choice.key)
@@ -141,7 +147,9 @@
         servers = self.view.servers.get(service, {})
         return min((self.trust.back_in(key, now) for key in servers), default=1.0)
 
-    def explain(self, service: str, facts: RequestFacts, tried: set[int], now: float):
+    def explain(
+        self, service: str, facts: RequestFacts, tried: set[int], now: float
+    ) -> str:
         """Return why no server of a service was chosen, for the log."""
         servers = self.view.servers.get(service, {})
         away = sum(self.trust.away(key, now) for key in servers)
--- a/src/cassiaford/gateway/_prober.py
+++ b/src/cassiaford/gateway/_prober.py
@@ -14,6 +14,44 @@
 PROBE_TIME_OUT_S = 0.4
 FIRST_PAUSE_S = 0.2
 MAX_PAUSE_S = 1.5
+# An engine that fetches from a dead store loses some hundred milliseconds, so
+# stores are tried this often, beside requests.
+STORE_EVERY_S = 0.8
+
+
+class PrefixStoreProber:
+    """Finds out which stores for prefixes cannot be reached."""
+
+    def __init__(self, view: View, pool: ConnectionPool, log: EventLog):
+        self.view = view
+        self.pool = pool
+        self.log = log
+        self.away: frozenset[str] = frozenset()
+
+    async def run(self) -> None:
+        """Try every store, again and again, until cancelled."""
+        while True:
+            configuration = self.view.configuration
+            stores = configuration.prefix_stores if configuration else ()
+            away = [s.address for s in stores if not await self._reachable(s.address)]
+            self._take_in(frozenset(away))
+            await asyncio.sleep(STORE_EVERY_S)
+
+    async def _reachable(self, address):
+        try:
+            connection = await self.pool.connect(address, PROBE_TIME_OUT_S)
+        except ExchangeError:
+            # That it cannot be reached is the answer.
+            return False
+        connection.close()
+        return True
+
+    def _take_in(self, away):
+        for address in away - self.away:
+            self.log.write(Event.PREFIX_STORE_LOST, address=address)
+        for address in self.away - away:
+            self.log.write(Event.PREFIX_STORE_BACK, address=address)
+        self.away = away
 
 
 class ServerProber:
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -57,6 +57,8 @@
     ENGINE_REACHABLE = (1312, Level.INFO, "engine answers polls again")
     ENGINE_RESTARTED = (1313, Level.WARNING, "engine came back with an empty cache")
 
+    PREFIX_STORE_LOST = (1315, Level.WARNING, "store for prefixes not reachable")
+    PREFIX_STORE_BACK = (1316, Level.INFO, "store for prefixes reachable again")
     SERVER_JOINED = (1321, Level.INFO, "backend server registered")
     SERVER_CHANGED = (1322, Level.INFO, "backend server's entry changed")
     SERVER_REPLACED = (1324, Level.INFO, "another backend server at this address")
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -5,7 +5,7 @@
 import signal
 
 from cassiaford.gateway import GatewaySettings
-from standins.platform_worker import Behaviour
+from standins.platform_worker import Behaviour, PlatformWorker
 from tests.platform_case import (
     KEY,
     MODEL,
@@ -242,3 +242,54 @@
         self.assertTrue(second.orderer.holds)
         tokens = [order["FencingToken"] for order in worker.orders]
         self.assertLess(tokens[0], tokens[1])
+
+
+class PrefixStoreTest(PlatformCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.prefixes = await PlatformWorker("i-store", "memory").start()
+        self.addAsyncCleanup(self.prefixes.stop)
+        store = {
+            "Name": "memory",
+            "KvStoreAddr": self.prefixes.address,
+            "Zone": "a",
+            "LinkMbps": 1000.0,
+        }
+        services = [*configuration()["Services"], store]
+        await self.store.put("op/config", configuration(Services=services))
+        self.worker = await self.start_worker("i-0", "engine")
+        self.gateway = await self.start_gateway()
+
+    async def test_engines_fetch_and_save_prefixes_at_a_store_that_is_there(self):
+        await self.ask(self.gateway)
+        headers = self.worker.calls[0].headers
+        self.assertEqual(headers["x-kv-fetch"], self.prefixes.address)
+        self.assertEqual(headers["x-kv-save"], self.prefixes.address)
+
+    async def test_no_engine_is_sent_to_a_store_that_is_gone(self):
+        await self.prefixes.stop()
+        await self.until(lambda: self.gateway.placer.stores_away)
+        await self.ask(self.gateway)
+        headers = self.worker.calls[-1].headers
+        self.assertNotIn("x-kv-fetch", headers)
+        self.assertNotIn("x-kv-save", headers)
+
+
+class LagTest(PlatformCase):
+    async def test_the_lag_of_an_engine_is_taken_from_first_events_only(self):
+        await self.store.put("op/config", configuration())
+        for number in range(2):
+            await self.start_worker(f"i-{number}", "engine", events=40)
+        gateway = await self.start_gateway()
+        noted = []
+        first_token = gateway.placer.first_token
+        gateway.placer.first_token = lambda *given: (
+            noted.append(given),
+            first_token(*given),
+        )
+        await self.ask(gateway)
+        chosen = next(worker for worker in self.workers.values() if worker.ran)
+        chosen.behaviours = [Behaviour.BREAK_IN_EVENT]
+        await self.ask(gateway)
+        # One whole attempt, one that broke off, and one that went on.
+        self.assertEqual(len(noted), 3)
