--- a/src/cassiaford/gateway/_attempt.py
+++ b/src/cassiaford/gateway/_attempt.py
@@ -74,12 +74,17 @@
         """The server's address."""
         return self.forwarding.server.address
 
-    async def send(self, request: HttpRequest, attempt_id: str) -> Answer:
+    async def send(
+        self, request: HttpRequest, attempt_id: str, *, only_run: bool
+    ) -> Answer:
         """Send the request and return the judged head of the answer.
 
-        Raises `ExchangeError` if there is none to be passed on.
+        A request that may not run again, an `only_run`, goes over a connection
+        that carried none before. Raises `ExchangeError` if there is no answer
+        to be passed on.
         """
-        self.connection = await self.pool.connection(self.address)
+        connect = self.pool.unused if only_run else self.pool.connection
+        self.connection = await connect(self.address)
         headers = self.dialect.forwarded_headers(request, self.forwarding)
         data = request_bytes(request.method, request.target, headers, request.body)
         self.sent = True
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -69,6 +69,11 @@
     expected_s: float = 0.0
     first_s: float | None = None
 
+    @property
+    def has_more_runs(self) -> bool:
+        """Whether the request may run once more after the run to come."""
+        return self.route.idempotent and self.runs + 1 < self.route.max_attempts
+
     @property
     def may_run_again(self) -> bool:
         """Whether another server may run the request now."""
@@ -164,7 +169,9 @@
     async def _answer(self, attempt, choice):
         """Return the answer's head; None if its server's failure is replaced."""
         job = self.job
-        send = attempt.send(job.request, job.facts.attempt_id)
+        send = attempt.send(
+            job.request, job.facts.attempt_id, only_run=not job.has_more_runs
+        )
         try:
             async with asyncio.timeout(self._stall_s()):
                 answer = await send
@@ -273,8 +280,7 @@
     def _stall_s(self):
         """Return how long an answer's beginning is waited for, if bounded."""
         job = self.job
-        repeatable = job.route.idempotent and job.runs + 1 < job.route.max_attempts
-        if not repeatable:
+        if not job.has_more_runs:
             return None
         stall_s = STALL_FACTOR * job.route.target_latency_s
         return max(MIN_STALL_S, min(stall_s, MAX_STALL_S))
--- a/src/cassiaford/gateway/_server_connection.py
+++ b/src/cassiaford/gateway/_server_connection.py
@@ -314,6 +314,17 @@
         """Return a kept or a new connection; raise `ExchangeError`."""
         return self.kept(address) or await self.connect(address)
 
+    async def unused(self, address: str) -> ServerConnection:
+        """Return a new connection in place of a kept one; raise `ExchangeError`.
+
+        A server may be closing any kept connection at the moment at which a
+        request is written to it, and then no one can tell whether it was read.
+        """
+        kept = self.kept(address)
+        if kept is not None:
+            kept.close()
+        return await self.connect(address)
+
     def give_back(self, address: str, connection: ServerConnection) -> None:
         """End an exchange and keep its connection if that may be."""
         if connection.finish():
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -122,6 +122,18 @@
         statuses = [(await self.call(gateway, "/book/1")).status for _ in range(30)]
         self.assertEqual(statuses, [200] * 30)
 
+    async def test_a_server_slow_to_close_a_connection_costs_no_booking(self):
+        gateway = await self.start("desk")
+        worker = self.workers["i-0"]
+        worker.close_after_s = 0.03
+        worker.behaviours = [Behaviour.CLOSE_AFTER] * 10
+        statuses = []
+        for _ in range(10):
+            # The next request is on its way when its server closes.
+            await asyncio.sleep(0.015)
+            statuses.append((await self.call(gateway, "/book/1")).status)
+        self.assertEqual(statuses, [200] * 10)
+
     async def test_an_answer_without_length_is_whole_at_its_end(self):
         gateway = await self.start("desk")
         self.workers["i-0"].behaviours = [Behaviour.UNFRAMED]
