--- a/src/cassiaford/gateway/__init__.py
+++ b/src/cassiaford/gateway/__init__.py
@@ -41,7 +41,6 @@
     PromptPart,
     RequestFacts,
     ResponseFacts,
-    ServerLoad,
 )
 from cassiaford.gateway._server_connection import ConnectionPool
 from cassiaford.gateway._settings import (
@@ -110,7 +109,6 @@
     "ResendLimits",
     "ResponseFacts",
     "Route",
-    "ServerLoad",
     "Service",
     "SharedStore",
     "StoreError",
--- a/src/cassiaford/gateway/_caller_connection.py
+++ b/src/cassiaford/gateway/_caller_connection.py
@@ -211,11 +211,6 @@
         if self.task is None and not self._receiving and self.transport:
             self.transport.close()
 
-    @property
-    def idle(self) -> bool:
-        """Whether nothing is asked on the connection."""
-        return self.task is None and not self._receiving
-
     async def _answer(self, request):
         try:
             await self.handler.handle(request, self)
--- a/src/cassiaford/gateway/_messages.py
+++ b/src/cassiaford/gateway/_messages.py
@@ -103,15 +103,6 @@
     save_to: str | None = None
 
 
-@dataclass(frozen=True)
-class ServerLoad:
-    """The load that a backend server tells with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True)
 class ResponseFacts:
     """What the headers of a backend server's response say.
@@ -126,4 +117,3 @@
     not_run: bool
     misdirected: bool = False
     server_id: str | None = None
-    load: ServerLoad | None = None
--- a/src/cassiaford/gateway/policy/_peer_table.py
+++ b/src/cassiaford/gateway/policy/_peer_table.py
@@ -89,13 +89,6 @@
             if peer.heard_at is not None and now - peer.heard_at <= LIVE_FOR_S
         ]
 
-    def heard_ago(self, name: str, now: float) -> float | None:
-        """Return the seconds since a peer's newest report."""
-        peer = self.peers.get(name)
-        if peer is None or peer.heard_at is None:
-            return None
-        return now - peer.heard_at
-
     def expected(self) -> list[str]:
         """Return the names of all that may be running."""
         return list(self.peers)
--- a/src/cassiaford/platform/_dialect.py
+++ b/src/cassiaford/platform/_dialect.py
@@ -12,7 +12,6 @@
     PromptPart,
     RequestFacts,
     ResponseFacts,
-    ServerLoad,
 )
 
 # Headers that the system sets itself; what a caller sends in them is dropped.
@@ -100,7 +99,6 @@
             not_run="x-not-executed" in fields or misdirected,
             misdirected=misdirected,
             server_id=fields.get("x-instance-id"),
-            load=_load(fields.get("x-server-load")),
         )
 
     def returned_headers(self, headers: Headers) -> Headers:
@@ -148,12 +146,3 @@
             raise MalformedError("X-Prompt-Prefix is not a list of parts")
         parts.append(PromptPart(part_id, int(tokens)))
     return tuple(parts)
-
-
-def _load(value):
-    """Return a server's load; one that cannot be read is not told at all."""
-    fields = (value or "").split(",")
-    if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
-        return None
-    running, waiting, slots = map(int, fields)
-    return ServerLoad(running, waiting, slots)
