--- a/bench/_stream_gateway.py
+++ b/bench/_stream_gateway.py
@@ -87,6 +87,7 @@
         addresses=GatewayAddresses(*(f"127.0.0.1:{port}" for port in ports)),
         store_address="",
         resends=ResendLimits(0.2, 50, 10),
+        rate_window_s=8.0,
         weights_within_s=6.0,
         drain_s=1.0,
         directory_ttl_s=1.0,
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -102,7 +102,7 @@
         self.engines = EngineBook()
         self.services = ServiceBook()
         self.trust = ServerTrust()
-        self.rates = FleetRates()
+        self.rates = FleetRates(self.settings.rate_window_s)
         self.table = PeerTable()
         self.view = View(self.world.records, self.rates, self.log)
         self.view.on_weights = self.engines.emptied
@@ -137,6 +137,7 @@
             log=self.log,
         )
         self.orderer.tokens = self.engines.tokens
+        self.orderer.unstarted = self.engines.unstarted
         self.orderer.demand = self.engines.demand
 
     def _create_peers(self):
@@ -152,6 +153,8 @@
         self.orderer.unreachable = lambda: self.prober.unreachable
         self.store_prober = PrefixStoreProber(self.view, self.world.pool, self.log)
         self.peers.on_unreachable = self.prober.heard
+        self.peers.on_held = self._held_changed
+        self.orderer.on_held = self.peers.hold
         self.peers.revision = lambda: self.mirror.revision
         self.copies = StoreCopies(self.mirror, self.sync, self.world.pool, self.log)
         self.peers.on_newer = self.copies.peer_is_newer
@@ -332,11 +335,13 @@
         self.peers.set_customers(
             self.view.configuration.customers if self.view.configuration else ()
         )
-        self.peers.held = self.orderer.held
         self.peers.unreachable = self.prober.unreachable
-        self.placer.held = self.peers.all_held()
+        self._held_changed()
         self.placer.stores_away = self.store_prober.away
 
+    def _held_changed(self):
+        self.placer.held = self.peers.all_held()
+
     def _forget_peer(self, name):
         self.log.write(Event.MEMBER_LOST, peer=name)
         self.engines.forget_peer(name)
--- a/src/cassiaford/gateway/_settings.py
+++ b/src/cassiaford/gateway/_settings.py
@@ -33,8 +33,9 @@
 class GatewaySettings:
     """What a gateway is started with.
 
-    `weights_within_s` is the time in which named weights are to be in place
-    everywhere, `drain_s` the time from a planned stop to the end of the
+    `rate_window_s` is the window in which a customer may spend its burst beside
+    its rate, `weights_within_s` the time in which named weights are to be in
+    place everywhere, `drain_s` the time from a planned stop to the end of the
     process, `directory_ttl_s` how long callers may keep a directory's answer.
     """
 
@@ -43,6 +44,7 @@
     addresses: GatewayAddresses
     store_address: str
     resends: ResendLimits
+    rate_window_s: float
     weights_within_s: float
     drain_s: float
     directory_ttl_s: float
--- a/src/cassiaford/gateway/policy/_fleet_rates.py
+++ b/src/cassiaford/gateway/policy/_fleet_rates.py
@@ -11,14 +11,19 @@
 
 # A peer unheard for this long spends its share: three of its reports are lost.
 SILENT_AFTER_S = 0.6
+# The window in which a customer's spending is bounded, unless settings say so.
+WINDOW_S = 8.0
+# Of the burst, the part that may be spent at once; the rest comes in over the
+# window, beside the rate, since a window may hold all of both.
+AT_ONCE_SHARE = 0.5
 # Of the burst, what an instance grants itself before it has heard of others'
 # spending: a fleet that restarts as a whole must not give out a second burst.
 START_LEVEL = 0.1
 
-# Requests of at most this share of the burst are refused only when the debt is
-# this share of the burst: a booking is worth more than the tokens it takes.
-SMALL_SHARE = 0.01
-SMALL_DEBT_SHARE = 0.2
+# Requests of at most this share of what may be spent at once are refused only
+# at a debt of this share: a booking is worth more than the tokens it takes.
+SMALL_SHARE = 0.02
+SMALL_DEBT_SHARE = 0.4
 # Callers wait only a part of their deadline; later returns would not be heard.
 MAX_RETURN_S = 2.0
 
@@ -30,6 +35,22 @@
     rate: float
     burst: float
 
+    def over_window(self, window_s: float) -> "Limit":
+        """Return the limit of a bucket by which no window holds more.
+
+        A window may hold the burst and what the rate gives in that time. A
+        bucket that starts full and gains the rate allows this once, and then
+        a window holds hardly more than the rate. With a part of the burst
+        spread over the window, each window may hold all of it.
+
+        Examples
+        --------
+        >>> Limit(100.0, 800.0).over_window(8.0)
+        Limit(rate=150.0, burst=400.0)
+        """
+        at_once = AT_ONCE_SHARE * self.burst
+        return Limit(self.rate + (self.burst - at_once) / window_s, at_once)
+
 
 class _Bucket:
     """The fleet's tokens for one customer, as this instance believes."""
@@ -39,6 +60,7 @@
         self.level = limit.burst * START_LEVEL
         self.updated_at = now
         self.spent = 0.0
+        self.refunded = 0.0
         self.next_return_at = 0.0
         self.heard_spent = {}
         self.set_aside = {}
@@ -52,6 +74,18 @@
         gained = self.limit.rate * elapsed - share * len(silent)
         self.level = min(self.limit.burst, self.level + max(0.0, gained))
 
+    def spend(self, tokens):
+        self.level -= tokens
+        # Peers are told of a sum that never falls, so what was given back
+        # counts towards what is spent next.
+        given_back = min(self.refunded, tokens)
+        self.refunded -= given_back
+        self.spent += tokens - given_back
+
+    def refund(self, tokens):
+        self.level = min(self.limit.burst, self.level + tokens)
+        self.refunded += tokens
+
     def hear(self, peer, incarnation, spent):
         known, before = self.heard_spent.get(peer, (None, 0.0))
         if known is None:
@@ -77,10 +111,11 @@
     >>> rates.charge("academy", 100, 0.0), rates.charge("academy", 60, 0.0)
     (True, False)
     >>> round(rates.return_after("academy", 60, 0.0), 2)
-    0.6
+    0.64
     """
 
-    def __init__(self):
+    def __init__(self, window_s: float = WINDOW_S):
+        self.window_s = window_s
         self.buckets: dict[str, _Bucket] = {}
         self.heard_at: dict[str, float] = {}
         self.members: frozenset[str] = frozenset()
@@ -89,7 +124,8 @@
         """Take in the customers' limits; those not named have none."""
         for customer in set(self.buckets) - set(limits):
             del self.buckets[customer]
-        for customer, limit in limits.items():
+        for customer, stated in limits.items():
+            limit = stated.over_window(self.window_s)
             bucket = self.buckets.get(customer)
             if bucket is None:
                 self.buckets[customer] = _Bucket(limit, now)
@@ -133,8 +169,7 @@
         least = -SMALL_DEBT_SHARE * bucket.limit.burst if small else 0.0
         if bucket.level <= least:
             return False
-        bucket.level -= tokens
-        bucket.spent += tokens
+        bucket.spend(tokens)
         return True
 
     def refund(self, customer: str, tokens: float, now: float) -> None:
@@ -142,7 +177,7 @@
         bucket = self.buckets.get(customer)
         if bucket is not None:
             self._advance(bucket, now)
-            bucket.level = min(bucket.limit.burst, bucket.level + tokens)
+            bucket.refund(tokens)
 
     def return_after(self, customer: str, tokens: float, now: float) -> float:
         """Return the seconds after which a refused request should come back.
@@ -165,7 +200,10 @@
         """Return a customer's limit and what is left of it, for the log."""
         bucket = self.buckets[customer]
         limit = bucket.limit
-        return f"{bucket.level:.0f} left of {limit.burst:g} at {limit.rate:g}/s"
+        return (
+            f"{bucket.level:.0f} left of {limit.burst:.0f} at once and"
+            f" {limit.rate:.0f}/s"
+        )
 
     def spent(self) -> dict[str, float]:
         """Return what this instance has spent since its start, by customer."""
--- a/src/cassiaford/platform/_settings.py
+++ b/src/cassiaford/platform/_settings.py
@@ -20,6 +20,7 @@
 # Where the platform bounds them by nothing, the bounds of its pages.
 _WEIGHTS_WITHIN_MS = 6000
 _GRACE_S = 8
+_RATE_WINDOW_S = 8
 
 
 def read_settings(path: pathlib.Path) -> GatewaySettings:
@@ -46,6 +47,7 @@
             slack=number(bounds, "BudgetSlack", 0),
             window_s=number(bounds, "BudgetWindowS", 10),
         ),
+        rate_window_s=number(bounds, "QuotaWindowS", _RATE_WINDOW_S),
         weights_within_s=number(bounds, "VersionMs", _WEIGHTS_WITHIN_MS) / 1000,
         drain_s=number(bounds, "GraceS", _GRACE_S),
         directory_ttl_s=min(DIRECTORY_TTL_S, number(bounds, "ttl_max_s", 5)),
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -120,6 +120,7 @@
             addresses=GatewayAddresses(*(f"127.0.0.1:{free_port()}" for _ in range(5))),
             store_address=self.store.address,
             resends=ResendLimits(ratio=0.2, slack=50, window_s=10),
+            rate_window_s=8.0,
             weights_within_s=6.0,
             drain_s=fields.pop("drain_s", 4.0),
             directory_ttl_s=1.0,
