--- a/src/cassiaford/gateway/_orders.py
+++ b/src/cassiaford/gateway/_orders.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 
 from cassiaford.gateway._engine_control import (
     EngineCallError,
@@ -80,8 +81,11 @@
         self.taken = False
         self.stopping = False
         self.tokens = lambda key: 0
+        self.unstarted = lambda key: 0
         self.unreachable = lambda: frozenset()
         self.demand = lambda now: 0.0
+        self.on_held: Callable[[frozenset[int]], None] = lambda keys: None
+        self._told_held: frozenset[int] = frozenset()
         self._orders: dict[int, asyncio.Task] = {}
         self._now = asyncio.get_running_loop().time
 
@@ -122,7 +126,7 @@
 
     def _servers(self):
         return [
-            RollOutServer(key, model, version, self.tokens(key))
+            RollOutServer(key, model, version, self.tokens(key), self.unstarted(key))
             for model in self.view.named.models
             for key, server in self.view.engines_of(model).items()
             if key not in self.unreachable()
@@ -174,6 +178,7 @@
             self.log.write(Event.ORDERS_SUSPENDED, cause="lease not renewed")
         self.fencing = 0
         self.roll_out.turns.clear()
+        self._tell_held()
 
     async def _renew(self):
         while self.fencing:
@@ -192,12 +197,20 @@
 
     def _give_due_orders(self):
         now = self._now()
-        for order in self.roll_out.plan(self._servers(), now, self.demand(now)):
+        orders = self.roll_out.plan(self._servers(), now, self.demand(now))
+        self._tell_held()
+        for order in orders:
             known = self._orders.get(order.key)
             if known is None or known.done():
                 task = asyncio.create_task(self._order(order))
                 self._orders[order.key] = task
 
+    def _tell_held(self):
+        held = self.held
+        if held != self._told_held:
+            self._told_held = held
+            self.on_held(held)
+
     async def _order(self, order: GiveOrder):
         server = self.view.engines_of(order.model).get(order.key)
         if server is None:
--- a/src/cassiaford/gateway/_peer_codec.py
+++ b/src/cassiaford/gateway/_peer_codec.py
@@ -70,6 +70,7 @@
         entry.running = min(placed.running, 0xFFFF)
         entry.tokens = placed.tokens
         entry.lagMs = round(placed.lag_s * 1000)
+        entry.unstarted = min(placed.unstarted, 0xFFFF)
     spending = message.init("spending", len(report.spending))
     for entry, (customer, tokens) in zip(
         spending, report.spending.items(), strict=True
@@ -91,7 +92,11 @@
             revision=message.revision,
             work={
                 w.server: PlacedWork(
-                    w.prefillMs / 1000, w.running, w.tokens, w.lagMs / 1000
+                    w.prefillMs / 1000,
+                    w.running,
+                    w.tokens,
+                    w.lagMs / 1000,
+                    w.unstarted,
                 )
                 for w in message.work
             },
--- a/src/cassiaford/gateway/_peers.py
+++ b/src/cassiaford/gateway/_peers.py
@@ -55,6 +55,7 @@
         self.revision = lambda: 0
         self.on_newer: Callable[[PeerState, int], None] = lambda peer, revision: None
         self.peers_held: dict[str, frozenset[int]] = {}
+        self.on_held: Callable[[], None] = lambda: None
         self.customers: dict[int, str] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self._sequence = itertools.count(1)
@@ -86,6 +87,12 @@
         """Take in the customers' names, which reports hold by digest."""
         self.customers = {digest(name): name for name in names}
 
+    def hold(self, keys: frozenset[int]) -> None:
+        """Tell peers at once which engines this instance takes out of use."""
+        self.held = keys
+        self.tell()
+        self.on_held()
+
     def all_held(self) -> frozenset[int]:
         """Return the engines that any live instance has taken out of use."""
         live = {peer.name for peer in self.table.live(self._now())}
@@ -181,7 +188,9 @@
             if key in self.customers
         }
         self.rates.hear(name, report.incarnation, spent, now)
-        self.peers_held[name] = report.held
+        if self.peers_held.get(name, frozenset()) != report.held:
+            self.peers_held[name] = report.held
+            self.on_held()
         self.on_unreachable(report.unreachable)
         if report.revision > self.revision():
             self.on_newer(state, report.revision)
--- a/src/cassiaford/gateway/peers.capnp
+++ b/src/cassiaford/gateway/peers.capnp
@@ -9,6 +9,7 @@
   running @2 :UInt16;
   tokens @3 :UInt32;        # of the requests running
   lagMs @4 :Int16;          # first tokens came so much later than expected
+  unstarted @5 :UInt16;     # of those running, still without a first token
 }
 
 struct Spending {
--- a/src/cassiaford/gateway/policy/_engine_book.py
+++ b/src/cassiaford/gateway/policy/_engine_book.py
@@ -85,13 +85,15 @@
     """What a peer has placed on an engine.
 
     `prefill_s` adds up since the peer's start; `running` and `tokens` are of
-    this moment. `lag_s` is by how much first tokens came later than expected.
+    this moment, `unstarted` of those running wait for their first token.
+    `lag_s` is by how much first tokens came later than expected.
     """
 
     prefill_s: float
     running: int
     tokens: int
     lag_s: float = 0.0
+    unstarted: int = 0
 
 
 @dataclass(frozen=True)
@@ -119,6 +121,7 @@
     # By request: its tokens, when it was sent, and when it was to begin.
     own: dict[str, tuple[int, float, float]] = field(default_factory=dict)
     own_tokens: int = 0
+    own_unstarted: set[str] = field(default_factory=set)
     peers: dict[str, PlacedWork] = field(default_factory=dict)
 
     @property
@@ -130,6 +133,11 @@
         fresh = [lag for lag, at in self.lags.values() if now - at < LAG_FRESH_S]
         return max(0.0, sum(fresh) / len(fresh)) if fresh else 0.0
 
+    @property
+    def unstarted(self):
+        heard = sum(p.unstarted for p in self.peers.values())
+        return len(self.own_unstarted) + heard
+
     @property
     def tokens(self):
         return self.own_tokens + sum(p.tokens for p in self.peers.values())
@@ -198,6 +206,7 @@
         first_s = placement.first_token_s - engine.lag_s(now)
         engine.own[request.request_id] = (tokens, now, first_s)
         engine.own_tokens += tokens
+        engine.own_unstarted.add(request.request_id)
         self.homes.placed(request, placement.engine.key, now)
         if placement.save:
             self.homes.saved(request, now)
@@ -207,6 +216,7 @@
         engine = self.engines.get(key)
         if engine is None or request_id not in engine.own:
             return
+        engine.own_unstarted.discard(request_id)
         sent_at, first_s = engine.own[request_id][1:]
         lag = now - sent_at - first_s
         self._learn(now - sent_at, first_s)
@@ -220,6 +230,7 @@
         """Take note that a request has ended."""
         engine = self.engines.get(key)
         if engine is not None:
+            engine.own_unstarted.discard(request_id)
             running = engine.own.pop(request_id, None)
             engine.own_tokens -= running[0] if running is not None else 0
 
@@ -273,7 +284,13 @@
     def own_work(self) -> dict[Hashable, PlacedWork]:
         """Return what this instance has placed, by engine."""
         return {
-            key: PlacedWork(e.placed_s, len(e.own), e.own_tokens, e.own_lag_s)
+            key: PlacedWork(
+                e.placed_s,
+                len(e.own),
+                e.own_tokens,
+                e.own_lag_s,
+                len(e.own_unstarted),
+            )
             for key, e in self.engines.items()
             if e.placed_s or e.own
         }
@@ -283,6 +300,11 @@
         engine = self.engines.get(key)
         return engine.tokens if engine is not None else 0
 
+    def unstarted(self, key: Hashable) -> int:
+        """Return how many requests the fleet has on an engine without an answer."""
+        engine = self.engines.get(key)
+        return engine.unstarted if engine is not None else 0
+
     def demand(self, now: float) -> float:
         """Return how many engines the fleet's recent prompts keep busy."""
         age = max(0.0, now - self._recent_at)
--- a/src/cassiaford/gateway/policy/_roll_out.py
+++ b/src/cassiaford/gateway/policy/_roll_out.py
@@ -19,6 +19,9 @@
 MOST_BUSY = 0.6
 # Until every instance has heard that an engine is taken out of use.
 HOLD_S = 0.15
+# An order throws back the requests whose first token is not out, so those are
+# waited for; no longer than a long prompt takes on a busy engine.
+LONGEST_HOLD_S = 0.6
 # An order without effect is given again after this time.
 REORDER_S = 2.5
 # In the last part of the time for a version, more engines load at once.
@@ -35,13 +38,15 @@
 class RollOutServer:
     """An engine, the version of a model that it has, and its load.
 
-    `tokens` are those of the requests that run on it.
+    `tokens` are those of the requests that run on it, `unstarted` counts those
+    without a first token.
     """
 
     key: Hashable
     model: str
     version: int
     tokens: int
+    unstarted: int = 0
 
 
 @dataclass(frozen=True)
@@ -107,7 +112,7 @@
         orders = []
         for key, turn in self.turns.items():
             server = behind[key]
-            if self._due(turn, now):
+            if self._due(turn, server, now):
                 version = self.named.newest(server.model)
                 orders.append(GiveOrder(key, server.model, version))
                 turn.step, turn.since, turn.version = _Step.ORDERED, now, version
@@ -119,9 +124,11 @@
         if turn is not None:
             turn.step = _Step.HELD
 
-    def _due(self, turn, now):
-        wait = HOLD_S if turn.step is _Step.HELD else REORDER_S
-        return now - turn.since >= wait
+    def _due(self, turn, server, now):
+        waited = now - turn.since
+        if turn.step is _Step.ORDERED:
+            return waited >= REORDER_S
+        return waited >= (LONGEST_HOLD_S if server.unstarted else HOLD_S)
 
     def _choose(self, behind, count, now):
         waiting = [s for key, s in behind.items() if key not in self.turns]
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -193,6 +193,38 @@
         roll_out.plan(self.engines({f"e{n}": 1 for n in range(9)}), 0.0)
         self.assertEqual(len(roll_out.held), 3)
 
+    def test_requests_on_a_held_engine_begin_before_it_is_ordered(self):
+        named = NamedVersions()
+        roll_out = RollOut(named, within_s=6.0)
+        named.name("m", 2, 0.0)
+
+        def orders(now, unstarted):
+            return roll_out.plan([RollOutServer("e", "m", 1, 900, unstarted)], now)
+
+        self.assertEqual(orders(0.0, 2), [])
+        self.assertEqual(orders(0.3, 1), [])
+        self.assertEqual(len(orders(0.4, 0)), 1)
+
+    def test_a_request_that_never_begins_does_not_keep_an_engine_from_its_order(self):
+        named = NamedVersions()
+        roll_out = RollOut(named, within_s=6.0)
+        named.name("m", 2, 0.0)
+        engines = [RollOutServer("e", "m", 1, 900, 1)]
+        self.assertEqual(roll_out.plan(engines, 0.0), [])
+        self.assertEqual(len(roll_out.plan(engines, 0.7)), 1)
+
+    def test_peers_count_the_requests_that_wait_for_their_first_token(self):
+        engines = [EngineView("e0", "e0", 8, 100_000)]
+        book, peer = EngineBook(), EngineBook()
+        request = Generation("r1", (), 1000, 10)
+        placement = book.place(request, engines, 0.0, random.Random(1))
+        book.started(request, placement, 0.0)
+        peer.hear("a", book.own_work(), True, 0.1)
+        self.assertEqual((book.unstarted("e0"), peer.unstarted("e0")), (1, 1))
+        book.first_token("r1", "e0", 0.1)
+        peer.hear("a", book.own_work(), True, 0.2)
+        self.assertEqual((book.unstarted("e0"), peer.unstarted("e0")), (0, 0))
+
     def test_an_order_without_effect_is_given_again(self):
         named = NamedVersions()
         roll_out = RollOut(named, within_s=6.0)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -291,6 +291,21 @@
         self.assertEqual(len({order["Holder"] for order in orders}), 1)
         self.assertEqual(len({order["FencingToken"] for order in orders}), 1)
 
+    async def test_all_instances_leave_a_held_engine_alone_at_once(self):
+        first = await self.start_gateway("entry-1")
+        second = await self.start_gateway("entry-2")
+        await self.until(lambda: second.table.live(second.loop.time()))
+        key = next(iter(first.view.engines_of(MODEL)))
+        # Only this word tells it: no report comes by itself any more.
+        for gateway in (first, second):
+            gateway.peers.tell = lambda: None
+        del first.peers.tell
+        for task in first._tasks:
+            task.cancel()
+        first.peers.hold(frozenset({key}))
+        self.assertIn(key, first.placer.held)
+        await self.until(lambda: key in second.placer.held)
+
 
 class ReplacedServerTest(PlatformCase):
     async def test_an_entry_whose_address_has_a_successor_is_not_used(self):
