--- a/src/cassiaford/instance/_instance.py
+++ b/src/cassiaford/instance/_instance.py
@@ -35,7 +35,8 @@
 POLL_TIMEOUT_S = 1.0
 READY_CHECK_S = 0.02
 # A holder that is gone never answers; readiness does not wait longer for it.
-SHARES_WAIT_S = 1.0
+# One that started just before calls again after a period of membership.
+SHARES_WAIT_S = 1.5
 STOP_TIMEOUT_S = 5.0
 
 
--- a/src/cassiaford/policy/_membership.py
+++ b/src/cassiaford/policy/_membership.py
@@ -32,6 +32,9 @@
 PAUSE_PERIODS = 3.0
 RECONNECT_PERIODS = 5
 SEED_PERIODS = 15
+# After its start an instance tries its seeds in every period: instances that
+# start together are not all bound when the first of them calls.
+FIRST_SEED_PERIODS = 5
 SENT_PROBES_KEPT_PERIODS = 8
 CONTACTS_PER_PERIOD = 8
 LEAVE_FANOUT = 6
@@ -210,7 +213,7 @@
     def _reach_out(self, now):
         """Try addresses that may lead to members not known as live."""
         live = self.table.live()
-        if self.period % SEED_PERIODS == 0 or not live:
+        if self._is_time_for_seeds() or not live:
             self.learn_addresses(self.seeds)
         addresses = self.contacts[:CONTACTS_PER_PERIOD]
         del self.contacts[:CONTACTS_PER_PERIOD]
@@ -226,6 +229,9 @@
             actions.append(self._send(MessageKind.JOIN, helper, sequence))
         return actions
 
+    def _is_time_for_seeds(self):
+        return self.period <= FIRST_SEED_PERIODS or self.period % SEED_PERIODS == 0
+
     def _contact(self, address, now):
         message = self._message(MessageKind.PING, self.probes.number(now))
         return SendMessage(message, address=address)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -63,6 +63,19 @@
         self.assertEqual(dead, [])
         self.assertTrue(fleet.agreed())
 
+    def test_an_instance_that_starts_last_is_found_within_two_periods(self):
+        # It knows no address; the others tried its own before it was bound.
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                fleet = VirtualFleet(seed)
+                fleet.start("entry-2", ["entry-1"])
+                fleet.start("entry-3", ["entry-1", "entry-2"])
+                fleet.run(0.3)
+                self.assertEqual(fleet.view("entry-2"), {"entry-2", "entry-3"})
+                fleet.start("entry-1", [])
+                fleet.run(2.0)
+                self.assertEqual(len(fleet.view("entry-1")), 3)
+
     @on_fleets()
     def test_a_paused_instance_blames_nobody_and_comes_back(self, fleet):
         pause_while_probing(fleet, "entry-2")
