--- a/src/cassiaford/pipeline/_dispatch.py
+++ b/src/cassiaford/pipeline/_dispatch.py
@@ -313,6 +313,11 @@
         if self.clock() > job.request.start_by:
             self.relay.attempt_failed(job, Failure.LATE_START)
             return
+        # Another server may have crashed by it while it waited for its turn.
+        refusal = self._refuse_suspect(job.request)
+        if refusal is not None:
+            self.relay.end(job, refusal)
+            return
         self.journal.record(Event.REQUEST_PLACED, self._subject(job))
         try:
             sock = send_request(
--- a/src/cassiaford/pipeline/_exchange.py
+++ b/src/cassiaford/pipeline/_exchange.py
@@ -119,7 +119,7 @@
         self._drop_connection(cancel=True)
         verdict = combine([*self.job.verdicts, self._current_verdict()])
         self.job.abandoned = True
-        self.when_open("_end_with", stopping_refusal(verdict))
+        self.when_open("end_with", stopping_refusal(verdict))
         return True
 
     def sweep(self, now: float) -> None:
@@ -236,7 +236,7 @@
             self.body = None
             self._requeue()
         else:
-            self._end_with(failure_refusal(self.job, failure, retry_after_s))
+            self.end_with(failure_refusal(self.job, failure, retry_after_s))
 
     def _may_replay(self):
         """Return whether a new run can continue what the caller has."""
@@ -250,9 +250,9 @@
     def _requeue(self):
         refusal = self.owner.requeue(self.job)
         if refusal is not None:
-            self._end_with(refusal)
+            self.end_with(refusal)
 
-    def _end_with(self, refusal):
+    def end_with(self, refusal: Refusal) -> None:
         """Refuse, or break a begun answer off so that the caller sees it."""
         if not self.caller.started:
             self.refuse(refusal)
--- a/src/cassiaford/pipeline/_relay.py
+++ b/src/cassiaford/pipeline/_relay.py
@@ -71,6 +71,10 @@
         """Answer a job with a refusal."""
         self._post(job, "when_open", "refuse", refusal)
 
+    def end(self, job: Job, refusal: Refusal) -> None:
+        """Refuse a job, or break off an answer that has begun."""
+        self._post(job, "when_open", "end_with", refusal)
+
     def drop(self, job: Job) -> None:
         """End a job whose caller has left before it was sent."""
         self._post(job, "when_open", "drop")
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -1,14 +1,24 @@
 """Tests of requests that crash the servers that run them."""
 
 import random
+import threading
 import time
 import unittest
 
+from cassiaford.engines import LoadReport
 from cassiaford.fleet import create_suspects
 from cassiaford.instance._crashes import CrashWatch
+from cassiaford.pipeline import SuspectRegister
 from cassiaford.policy import Crash, SuspectBook, servers_for_suspects
 from cassiaford.timeline import HybridClock, Journal
-from tests.fakes import service_request
+from cassiaford.verdict import Refusal, RefusalReason, Verdict
+from tests.fakes import (
+    DispatcherCase,
+    full_stream,
+    model_request,
+    service_request,
+    token,
+)
 from tests.fakes_peers import FakeTransport
 
 SCHEDULES = 200
@@ -116,6 +126,46 @@
             self.assertEqual(len(part), 1)
 
 
+class Suspicions(SuspectRegister):
+    """Keeps requests from every server until they are to be refused."""
+
+    def __init__(self):
+        self.apart = True
+        self.refused = threading.Event()
+
+    def refusal(self, request):
+        if self.refused.is_set():
+            reason = RefusalReason.CRASHES_SERVERS
+            return Refusal(reason, Verdict.MAY_HAVE_RUN, "crashed two servers")
+        return None
+
+    def crashed(self, request, server):
+        pass
+
+    def avoided(self, request, servers):
+        return frozenset(servers if self.apart else ())
+
+
+class WaitingSuspectTest(DispatcherCase):
+    def test_a_suspect_is_refused_though_the_second_crash_was_told_while_it_waited(
+        self,
+    ):
+        # It waits for a server that runs no other suspect. Meanwhile a peer
+        # tells that its second run crashed a server as well.
+        server = self.serve(full_stream(token(0)))
+        suspects = Suspicions()
+        setup = self.dispatch(server, suspects=suspects)
+        caller = setup.submit(model_request(1))
+        time.sleep(0.1)
+        suspects.refused.set()
+        suspects.apart = False
+        setup.dispatcher.observe_load("engine-0", LoadReport("1", 0, 0, 0, ()))
+        self.assertIn(b"request_crashes_servers", caller.answer().body)
+        outcome = setup.outcomes.get("r1")
+        self.assertEqual(outcome.refusal.reason, RefusalReason.CRASHES_SERVERS)
+        self.assertEqual(server.requests, [])
+
+
 class SuspectRegistryTest(unittest.TestCase):
     def setUp(self):
         self.fleet = {}
