--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -138,9 +138,8 @@
     def _choose(self, now):
         job = self.job
         placer = self.parts.placer
-        target_s = job.route.target_latency_s
         choice = placer.choose(
-            job.service, job.facts, job.customer, job.tried, target_s, now
+            job.service, job.facts, job.customer, job.tried, job.route, now
         )
         if choice is not None and now + choice.first_token_s > job.ends_at:
             return None
@@ -229,14 +228,15 @@
         reader = EventReader(answer)
         # A stream that cannot go on elsewhere is waited for.
         gap_s = STREAM_GAP_S if job.route.resumable else None
-        begun = False
+        begun_at = None
         while events := await reader.next(gap_s):
-            if not begun:
-                begun = True
-                now = self.loop.time()
-                self.parts.placer.first_token(choice, job.facts, now)
+            if begun_at is None:
+                begun_at = self.loop.time()
+                self.parts.placer.first_token(choice, job.facts, begun_at)
             self._send_events(answer, events)
             await job.connection.drain()
+        if begun_at is not None:
+            self.parts.placer.answered(job.route, begun_at, self.loop.time())
         if not job.head_sent:
             self._send_events(answer, b"")
         job.connection.end()
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -13,6 +13,7 @@
     Placement,
     PlainServer,
     Prefix,
+    RunTimes,
     ServerTrust,
     ServiceBook,
 )
@@ -26,11 +27,6 @@
 REMOTE_COST_S = 0.03
 # An engine that is yet to load new weights will lose what it reads now.
 SOON_EMPTIED_COST_S = 0.1
-# It loads once its requests have ended, so each long one keeps it from that;
-# a token takes about this long on a busy engine.
-TOKEN_S = 0.012
-
-
 # Where the configuration says nothing of engines, memory is taken to suffice.
 _UNKNOWN_ENGINE = EngineSpec(slots=1, cache_tokens=1 << 40)
 
@@ -75,6 +71,7 @@
         self.data_centre = data_centre
         self.weights_due_s = weights_due_s
         self.rng = rng
+        self.run_times = RunTimes()
         self.held: frozenset[int] = frozenset()
         self.stores_away: frozenset[str] = frozenset()
         self.store_steady = lambda since: True
@@ -85,7 +82,7 @@
         facts: RequestFacts,
         customer: Customer | None,
         tried: set[int],
-        target_s: float,
+        route: Route,
         now: float,
     ) -> Choice | None:
         """Return the best usable backend server of a service, or None."""
@@ -95,7 +92,7 @@
             if key not in tried and not self.trust.away(key, now)
         }
         if facts.is_generation:
-            return self._choose_engine(servers, facts, customer, target_s, now)
+            return self._choose_engine(servers, facts, customer, route, now)
         plain = [
             PlainServer(
                 key,
@@ -129,6 +126,10 @@
         if choice.placement is not None:
             self.engines.first_token(facts.attempt_id, choice.key, now)
 
+    def answered(self, route: Route, first_at: float, now: float) -> None:
+        """Take note of a whole answer that began at a time."""
+        self.run_times.ended(route.name, now - first_at)
+
     def ended(self, choice: Choice, facts: RequestFacts) -> None:
         """Take note that an attempt is over."""
         if choice.placement is None:
@@ -161,7 +162,7 @@
             " too late"
         )
 
-    def _choose_engine(self, servers, facts, customer, target_s, now):
+    def _choose_engine(self, servers, facts, customer, route, now):
         spec = _engine_spec(self.view.configuration, servers)
         free = {key: s for key, s in servers.items() if key not in self.held}
         views = [
@@ -171,7 +172,7 @@
                 server.slots,
                 spec.cache_tokens,
                 self.trust.cost_s(key, now)
-                + self._weights_cost(server, facts, now)
+                + self._weights_cost(server, facts, route, now)
                 + self._distance_cost(server),
                 self._new_unit_cost(server, facts, now),
                 server.versions.get(facts.model, 0),
@@ -180,7 +181,7 @@
             for key, server in (free or servers).items()
             if not self._weights_overdue(server, facts, now)
         ]
-        request = self._generation(facts, customer, target_s)
+        request = self._generation(facts, customer, route.target_latency_s)
         versions = {key: s.versions.get(facts.model, 0) for key, s in servers.items()}
         placement = self.engines.place(request, views, now, self.rng, versions)
         if placement is None:
@@ -210,11 +211,12 @@
     def _distance_cost(self, server):
         return 0.0 if server.data_centre == self.data_centre else REMOTE_COST_S
 
-    def _weights_cost(self, server, facts, now):
+    def _weights_cost(self, server, facts, route, now):
         age = self._behind_for(server, facts, now)
         if age <= 0.0:
             return 0.0
-        cost = TOKEN_S * facts.output_tokens
+        # It loads once its requests have ended; each long one keeps it from that.
+        cost = self.run_times.expected(route.name)
         return cost + (OLD_WEIGHTS_COST_S if age > OLD_WEIGHTS_AFTER_S else 0.0)
 
     def _new_unit_cost(self, server, facts, now):
--- a/src/cassiaford/gateway/policy/__init__.py
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -15,6 +15,7 @@
 from cassiaford.gateway.policy._peer_table import PeerState, PeerTable
 from cassiaford.gateway.policy._registry import ServerRegistry
 from cassiaford.gateway.policy._roll_out import GiveOrder, RollOut, RollOutServer
+from cassiaford.gateway.policy._run_times import RunTimes
 from cassiaford.gateway.policy._send_budget import SendBudget
 from cassiaford.gateway.policy._server_trust import ServerTrust
 from cassiaford.gateway.policy._service_book import PlainServer, ServiceBook
@@ -35,6 +36,7 @@
     "Prefix",
     "RollOut",
     "RollOutServer",
+    "RunTimes",
     "SendBudget",
     "ServerRegistry",
     "ServerTrust",
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -15,6 +15,7 @@
     Prefix,
     RollOut,
     RollOutServer,
+    RunTimes,
     SendBudget,
     ServerRegistry,
     ServerTrust,
@@ -141,6 +142,17 @@
         self.assertAlmostEqual(book.prefill_tokens_per_s, 30_000, delta=3000)
 
 
+class RunTimesTest(unittest.TestCase):
+    def test_a_route_is_known_by_how_long_its_answers_ran(self):
+        rng = random.Random(3)
+        times = RunTimes()
+        for _ in range(200):
+            times.ended("tag", rng.uniform(0.02, 0.06))
+            times.ended("digest", rng.uniform(0.4, 1.2))
+        self.assertAlmostEqual(times.expected("tag"), 0.04, delta=0.02)
+        self.assertAlmostEqual(times.expected("digest"), 0.8, delta=0.25)
+
+
 class RollOutTest(unittest.TestCase):
     def engines(self, versions):
         return [RollOutServer(k, "m", v, 0) for k, v in versions.items()]
--- /dev/null
+++ b/tests/test_placer.py
@@ -0,0 +1,102 @@
+"""Tests of the choice of engines by what the gateway believes of them."""
+
+import random
+import types
+import unittest
+
+from cassiaford.gateway import (
+    BackendServer,
+    Configuration,
+    EngineSpec,
+    PromptPart,
+    RequestFacts,
+    RequestKind,
+    Route,
+    Service,
+    Target,
+)
+from cassiaford.gateway._placer import Placer
+from cassiaford.gateway.policy import (
+    EngineBook,
+    NamedVersions,
+    ServerTrust,
+    ServiceBook,
+)
+
+
+def route(name, target_s):
+    """Return a route to the engines."""
+    targets = (Target("engine", 1.0),)
+    return Route(name, "a", "/", RequestKind.STREAM, targets, 3.0, target_s)
+
+
+TAG = route("tag", 0.4)
+DIGEST = route("digest", 0.8)
+
+
+def facts(number, own_tokens, output_tokens):
+    """Return a prompt with a short shared part."""
+    parts = (PromptPart("binder", 500), PromptPart(f"own-{number}", own_tokens))
+    return RequestFacts(
+        f"r{number}",
+        "a",
+        model="m",
+        prompt_tokens=500 + own_tokens,
+        output_tokens=output_tokens,
+        parts=parts,
+    )
+
+
+class PlacerTest(unittest.TestCase):
+    """Two engines; the first has the weights that were named a second ago."""
+
+    def setUp(self):
+        named = NamedVersions()
+        named.name("m", 1, 0.0)
+        named.name("m", 2, 9.0)
+        servers = {
+            key: BackendServer(f"e{key}", "engine", f"h:{key}", "a", 64, versions=held)
+            for key, held in ((1, {"m": 2}), (2, {"m": 1}))
+        }
+        service = Service("engine", 300, EngineSpec(64, 220_000))
+        view = types.SimpleNamespace(
+            servers={"engine": servers},
+            configuration=Configuration(1, (TAG, DIGEST), {"engine": service}),
+            named=named,
+        )
+        self.placer = Placer(
+            view,
+            EngineBook(),
+            ServiceBook(),
+            ServerTrust(),
+            "a",
+            weights_due_s=10.0,
+            rng=random.Random(1),
+        )
+
+    def place(self, request, asked, now):
+        """Place and send a request; return the engine's key."""
+        choice = self.placer.choose("engine", request, None, set(), asked, now)
+        self.placer.started(choice, request, None, now)
+        return choice.key
+
+    def test_new_weights_are_preferred_on_idle_engines(self):
+        self.assertEqual(self.place(facts(1, 1500, 90), TAG, 10.0), 1)
+
+    def test_a_short_answer_does_not_wait_behind_a_long_prompt_for_new_weights(self):
+        # Tags may state ninety tokens, and get four. Those that have just
+        # ended tell that one hardly keeps an engine from loading weights.
+        for number in range(20):
+            self.placer.answered(TAG, 9.0 + number / 100, 9.04 + number / 100)
+        self.assertEqual(self.place(facts(1, 32_000, 900), DIGEST, 10.0), 1)
+        self.assertEqual(self.place(facts(2, 1500, 90), TAG, 10.01), 2)
+
+    def test_a_long_answer_is_not_begun_where_weights_are_to_be_loaded(self):
+        for number in range(20):
+            self.placer.answered(DIGEST, 8.0 + number / 100, 9.2 + number / 100)
+        self.assertEqual(self.place(facts(1, 12_000, 900), DIGEST, 10.0), 1)
+        self.assertEqual(self.place(facts(2, 6000, 900), DIGEST, 10.01), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
