--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -171,6 +171,7 @@
             rng=self.rng,
         )
         self.placer.store_steady = self._store_steady_since
+        self.placer.on_placed = self.peers.placed
         self.front = Front(
             dialect=self.world.dialect,
             view=self.view,
--- a/src/cassiaford/gateway/_peers.py
+++ b/src/cassiaford/gateway/_peers.py
@@ -25,6 +25,9 @@
 # How often work and spending are told. A prompt is read in tens of
 # milliseconds, so older word would come after the fact.
 REPORT_S = 0.1
+# So much work placed by one instance is told at once: others would place short
+# prompts behind it, whose targets are a few tenths of a second.
+TELL_AT_ONCE_S = 0.05
 # Everything is told again this often, for peers that missed a report.
 WHOLE_EVERY = 10
 # Reports that say nothing new are left out, up to this many.
@@ -63,6 +66,7 @@
         self._states: dict[int, PeerState] = {}
         self._told = {}
         self._left_out = 0
+        self._untold_s = 0.0
         self._rounds = itertools.count()
         self._now = asyncio.get_running_loop().time
 
@@ -99,6 +103,12 @@
         held = [h for name, h in self.peers_held.items() if name in live]
         return self.held.union(*held)
 
+    def placed(self, prefill_s: float) -> None:
+        """Take note of work that was placed on an engine."""
+        self._untold_s += prefill_s
+        if self._untold_s >= TELL_AT_ONCE_S:
+            self.tell()
+
     async def run(self) -> None:
         """Report until cancelled."""
         while True:
@@ -107,6 +117,7 @@
 
     def tell(self) -> None:
         """Send one report, of what has changed or of everything."""
+        self._untold_s = 0.0
         whole = next(self._rounds) % WHOLE_EVERY == 0
         work = self._work()
         spending = {digest(n): round(t) for n, t in self.rates.spent().items()}
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -1,6 +1,7 @@
 """Choosing backend servers by what the gateway believes of them."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from cassiaford.gateway._configuration import Customer, EngineSpec, Route
@@ -74,6 +75,7 @@
         self.run_times = RunTimes()
         self.held: frozenset[int] = frozenset()
         self.stores_away: frozenset[str] = frozenset()
+        self.on_placed: Callable[[float], None] = lambda prefill_s: None
         self.store_steady = lambda since: True
 
     def choose(
@@ -120,6 +122,7 @@
         else:
             request = self._generation(facts, customer)
             self.engines.started(request, choice.placement, now)
+            self.on_placed(choice.placement.prefill_s)
 
     def first_token(self, choice: Choice, facts: RequestFacts, now: float) -> None:
         """Take note that an answer has begun."""
