--- a/src/cassiaford/gateway/_configuration.py
+++ b/src/cassiaford/gateway/_configuration.py
@@ -27,8 +27,9 @@
     """The requests of one host below one path prefix.
 
     `time_out_s` bounds the whole answer, `target_latency_s` is the time
-    within which it should come or, of a stream, begin. `max_attempts` is the
-    number of backend servers that may run one request.
+    within which it should come or, of a stream, begin. `target_pause_s` is the
+    longest time that should pass between events, 0 if none is stated.
+    `max_attempts` is the number of backend servers that may run one request.
     """
 
     name: str
@@ -38,6 +39,7 @@
     targets: tuple[Target, ...]
     time_out_s: float
     target_latency_s: float
+    target_pause_s: float = 0.0
     priority: int = 0
     max_attempts: int = 1
     public: bool = False
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -68,6 +68,17 @@
     server: str = ""
     expected_s: float = 0.0
     first_s: float | None = None
+    longest_pause_s: float = 0.0
+    status: int = 0
+    too_late: bool = False
+
+    @property
+    def missed_target(self) -> bool:
+        """Whether the answer began late, or paused for too long."""
+        route = self.route
+        if self.first_s is None or self.first_s > route.target_latency_s:
+            return True
+        return 0.0 < route.target_pause_s < self.longest_pause_s
 
     @property
     def has_more_runs(self) -> bool:
@@ -142,6 +153,8 @@
             job.service, job.facts, job.customer, job.tried, job.route, now
         )
         if choice is not None and now + choice.first_token_s > job.ends_at:
+            job.expected_s = choice.first_token_s
+            job.too_late = True
             return None
         return choice
 
@@ -176,6 +189,10 @@
                 answer = await send
         except TimeoutError as error:
             raise ExchangeError(Failure.FIRST_BYTE_TIMEOUT) from error
+        except asyncio.CancelledError:
+            if attempt.sent:
+                job.verdict = Verdict.MAY_HAVE_RUN
+            raise
         finally:
             if attempt.sent:
                 job.sends += 1
@@ -186,7 +203,7 @@
         self.parts.trust.failed(choice.key, self.loop.time())
         if not job.may_run_again or job.head_sent:
             return answer
-        job.failure = Failure.OVERLOADED
+        job.failure = Failure.SERVER_ERROR
         budget = self.parts.budgets[job.service]
         now = self.loop.time()
         again = budget.allows(now, self.instances) and self._choose(now) is not None
@@ -201,6 +218,7 @@
             await self._relay_whole(attempt, answer)
         attempt.finish()
         self.job.failure = None
+        self.job.status = answer.head.status
         self.job.verdict = Verdict.RAN
         if answer.head.status < 500:
             self.parts.trust.answered(choice.key, self.loop.time())
@@ -228,11 +246,15 @@
         reader = EventReader(answer)
         # A stream that cannot go on elsewhere is waited for.
         gap_s = STREAM_GAP_S if job.route.resumable else None
-        begun_at = None
+        begun_at = event_at = None
         while events := await reader.next(gap_s):
+            now = self.loop.time()
             if begun_at is None:
-                begun_at = self.loop.time()
+                begun_at = now
                 self.parts.placer.first_token(choice, job.facts, begun_at)
+            else:
+                job.longest_pause_s = max(job.longest_pause_s, now - event_at)
+            event_at = now
             self._send_events(answer, events)
             await job.connection.drain()
         if begun_at is not None:
@@ -309,10 +331,20 @@
         placer = self.parts.placer
         return refuse(
             RefusalReason.NO_BACKEND,
-            placer.explain(job.service, job.facts, job.tried, now),
+            placer.explain(job.service, job.facts, job.tried, now)
+            + self._shortage(now),
             self._return_after(placer.back_in(job.service, now)),
         )
 
+    def _shortage(self, now):
+        job = self.job
+        if job.too_late:
+            return (
+                f"; the best of the others would begin in {job.expected_s:.2f} s,"
+                f" the request ends in {job.ends_at - now:.2f} s"
+            )
+        return "; the others have no room"
+
     def _return_after(self, wait_s):
         return (RETURN_S + wait_s) * (1.0 + self.parts.rng.random())
 
--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -6,7 +6,11 @@
 from dataclasses import dataclass
 
 from cassiaford.gateway._caller_connection import CallerConnection, RequestHandler
-from cassiaford.gateway._configuration import CallerLimits, choose_service
+from cassiaford.gateway._configuration import (
+    CallerLimits,
+    Customer,
+    choose_service,
+)
 from cassiaford.gateway._dialect import Dialect, MalformedError
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._exchange import Exchange, ExchangeParts, Job
@@ -92,7 +96,6 @@
                 self._reject(connection, admitted)
                 return
             job = admitted
-            self._log_admitted(job)
             refusal = await Exchange(job, self.parts, self.instances()).run()
             if refusal is not None:
                 self._refuse(connection, refusal, job)
@@ -211,13 +214,23 @@
         connection.send(refusal.reason.status, headers)
         self.metrics.count(Counter.REFUSALS, Label("reason", refusal.reason.code))
 
-    def _log_admitted(self, job):
-        self.metrics.count(Counter.REQUESTS, Label("route", job.route.name))
+    def _count(self, job, verdict):
+        """Count a request of an admitted customer by what became of it."""
+        told = Label("verdict", verdict.value)
+        self.metrics.count(
+            Counter.REQUESTS,
+            Label("route", job.route.name),
+            Label("class", customer_class(job.customer)),
+            told,
+        )
+        if job.server:
+            server = Label("server", job.server)
+            self.metrics.count(Counter.SERVER_REQUESTS, server, told)
 
     def _record(self, job, refusal):
         """Log what became of a request and what decided it."""
+        self._count(job, job.verdict if refusal is None else refusal.verdict)
         took_s = self.loop.time() - job.request.received_at
-        late = job.first_s is None or job.first_s > job.route.target_latency_s
         fields = self._fields(job, took_s)
         if refusal is not None:
             fields["reason"] = refusal.reason.code
@@ -228,13 +241,25 @@
             event = Event.REQUEST_REFUSED if not_run else Event.REQUEST_FAILED
             self.log.write(event, **fields)
             return
-        self.metrics.observe(Quantity.TIME_TO_FIRST_TOKEN, job.first_s or took_s)
-        if late:
-            self.log.write(Event.REQUEST_COMPLETED, late=True, **fields)
+        self.metrics.observe(
+            Quantity.TIME_TO_FIRST_TOKEN,
+            job.first_s or took_s,
+            Label("route", job.route.name),
+        )
+        self._observe_pause(job)
+        late = job.missed_target
+        if late or job.status >= 500:
+            self.log.write(Event.REQUEST_COMPLETED, late=late, **fields)
         else:
             self.log.write_sampled(Event.REQUEST_COMPLETED, **fields)
 
+    def _observe_pause(self, job):
+        if job.longest_pause_s:
+            route = Label("route", job.route.name)
+            self.metrics.observe(Quantity.LONGEST_GAP, job.longest_pause_s, route)
+
     def _caller_left(self, job):
+        self._count(job, job.verdict)
         took_s = self.loop.time() - job.request.received_at
         self.log.write(Event.CALLER_LEFT, **self._fields(job, took_s))
 
@@ -248,5 +273,14 @@
             "expected_s": round(job.expected_s, 3),
             "first_s": round(job.first_s, 3) if job.first_s is not None else None,
             "took_s": round(took_s, 3),
+            "longest_pause_s": round(job.longest_pause_s, 3),
+            "status": job.status,
             "verdict": job.verdict.value,
         }
+
+
+def customer_class(customer: Customer | None) -> str:
+    """Return the class of a customer, as metrics name it."""
+    if customer is None:
+        return "public"
+    return "standard" if customer.priority is None else f"priority {customer.priority}"
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -161,8 +161,7 @@
         return (
             f"of {len(servers)} servers {len(tried & set(servers))} were tried,"
             f" {away} are left alone after failures, {overdue} have weights that"
-            " were replaced too long ago; the others have no room or would begin"
-            " too late"
+            " were replaced too long ago"
         )
 
     def _choose_engine(self, servers, facts, customer, route, now):
--- a/src/cassiaford/metrics/_registry.py
+++ b/src/cassiaford/metrics/_registry.py
@@ -16,6 +16,8 @@
 QUANTILES = (0.5, 0.9, 0.95, 0.99)
 # More series than this of one counter are added up under OTHER.
 MAX_SERIES = 4200
+# The same for histograms, which take some hundred kilobytes each.
+MAX_HISTOGRAMS = 48
 OTHER = "other"
 
 
@@ -28,6 +30,10 @@
         "cassiaford_customer_requests_total",
         "Requests by customer and verdict.",
     )
+    SERVER_REQUESTS = (
+        "cassiaford_server_requests_total",
+        "Requests by the backend server that they were last sent to, and verdict.",
+    )
     PROMPT_TOKENS = ("cassiaford_prompt_tokens_total", "Prompt tokens served.")
     CACHED_TOKENS = (
         "cassiaford_cached_tokens_total",
@@ -116,6 +122,8 @@
 
     def _histogram(self, quantity, labels):
         series = self.histograms[quantity]
+        if labels not in series and len(series) >= MAX_HISTOGRAMS:
+            labels = tuple(Label(label.name, OTHER) for label in labels)
         if labels not in series:
             series[labels] = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_FIGURES)
         return series[labels]
--- a/src/cassiaford/platform/_records.py
+++ b/src/cassiaford/platform/_records.py
@@ -118,6 +118,7 @@
         targets=_targets(entry),
         time_out_s=number(entry, "TimeoutMs") / 1000,
         target_latency_s=number(entry, "TargetLatencyMs", 1000) / 1000,
+        target_pause_s=number(entry, "GapAimMs", 0) / 1000,
         priority=whole(entry, "Priority", 0),
         max_attempts=max(1, whole(entry, "MaxAttempts", 1)),
         public=flag(entry, "Public"),
--- a/src/cassiaford/verdict/_failure.py
+++ b/src/cassiaford/verdict/_failure.py
@@ -68,6 +68,11 @@
         Verdict.MAY_HAVE_RUN,
         RefusalReason.BACKEND_FAILED,
     )
+    SERVER_ERROR = (
+        "the backend server answered with an error of its own",
+        Verdict.MAY_HAVE_RUN,
+        RefusalReason.BACKEND_FAILED,
+    )
     SHORT_ANSWER = (
         "the answer ended before it was complete",
         Verdict.MAY_HAVE_RUN,
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -41,6 +41,7 @@
         self.zone = zone
         self.events = events
         self.close_after_s = 0.005
+        self.pause_s = 0.0
         self.versions: dict[str, int] = {}
         self.behaviours: list[Behaviour] = []
         self.calls: list[Call] = []
@@ -177,6 +178,8 @@
         first = int(call.headers.get("last-event-id", 0)) + 1
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if number > first:
+                await asyncio.sleep(self.pause_s)
             if behaviour is Behaviour.BREAK_IN_EVENT and number == 2:
                 event = event[:9]
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -160,6 +160,22 @@
         writer.close()
         await self.until(lambda: worker.cancelled == ["b1"])
 
+    async def test_metrics_tell_route_class_server_and_verdict(self):
+        gateway = await self.start("desk")
+        self.workers["i-0"].behaviours = [Behaviour.SERVE, Behaviour.RESET]
+        for _ in range(2):
+            await self.call(gateway, "/book/1")
+        text = gateway.metrics.render()
+        labels = 'route="book",class="standard",verdict='
+        for line in (
+            f'cassiaford_requests_total{{{labels}"ran"}} 1',
+            f'cassiaford_requests_total{{{labels}"may_have_run"}} 1',
+            'cassiaford_server_requests_total{server="i-0",verdict="ran"} 1',
+            'cassiaford_refusals_total{reason="backend_server_failed"} 1',
+            'cassiaford_time_to_first_token_seconds_count{route="book"} 1',
+        ):
+            self.assertIn(line, text)
+
     async def test_a_request_ends_at_its_route_s_time_out(self):
         await self.store.put(
             "op/config",
