--- a/src/cassiaford/logs/_bounded.py
+++ b/src/cassiaford/logs/_bounded.py
@@ -46,6 +46,9 @@
     def flush(self) -> None:
         """Do nothing; lines are written at once."""
 
+    def close(self) -> None:
+        """Do nothing; the descriptor belongs to whoever opened it."""
+
     def _write_rest(self):
         self._rest = self._rest[self._try(self._rest) :]
         return not self._rest
--- a/tests/test_bounded_log.py
+++ b/tests/test_bounded_log.py
@@ -1,6 +1,8 @@
 """Tests of the log stream when nobody reads it."""
 
 import os
+import subprocess
+import sys
 import unittest
 
 from cassiaford.logs import BoundedStream
@@ -26,6 +28,19 @@
             except BlockingIOError:
                 return b"".join(parts)
 
+    def test_a_process_that_logs_to_it_ends_without_an_error(self):
+        program = (
+            "from cassiaford.logs import BoundedStream, Level, configure_logging,"
+            " write_line\n"
+            "configure_logging('json', 'info', BoundedStream(1))\n"
+            "write_line(Level.INFO, 'the end', {})\n"
+        )
+        result = subprocess.run(
+            [sys.executable, "-c", program], capture_output=True, check=True
+        )
+        self.assertIn(b"the end", result.stdout)
+        self.assertEqual(result.stderr, b"")
+
     def test_a_full_pipe_makes_nobody_wait(self):
         self.fill()
         for _ in range(50):
