--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 
 from cassiaford.gateway._caller_connection import CallerConnection, listen
+from cassiaford.gateway._clocks import SuspensionWatch
 from cassiaford.gateway._copies import StoreCopies
 from cassiaford.gateway._dialect import MalformedError
 from cassiaford.gateway._event_log import EventLog
@@ -46,8 +47,6 @@
 SERVERS_GATHER_S = 0.12
 # How often what lapses is looked at.
 HOUSEKEEPING_S = 0.2
-# A machine whose clock that counts suspensions is ahead by this was suspended.
-SUSPENDED_S = 0.3
 METRICS_TARGET = "/metrics"
 # Of a planned stop: callers learn of it, then new requests are refused, then
 # the process ends once nothing is in progress.
@@ -315,12 +314,10 @@
     # What goes on beside requests.
 
     async def _keep_house(self):
-        suspended = self._suspension()
+        suspensions = SuspensionWatch()
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
-            away = self._suspension() - suspended
-            suspended += away
-            if away > SUSPENDED_S:
+            if away := suspensions.away():
                 self.log.write(Event.INSTANCE_SUSPENDED, away_s=round(away, 3))
             self._expire()
 
@@ -355,10 +352,6 @@
                 self.log.write(Event.INSTANCE_READY)
             self.peers.tell()
 
-    @staticmethod
-    def _suspension():
-        return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
-
     def _servers_changed(self):
         keys = {key for servers in self.view.servers.values() for key in servers}
         self.engines.keep(keys)
--- a/src/cassiaford/gateway/_orders.py
+++ b/src/cassiaford/gateway/_orders.py
@@ -7,9 +7,9 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 
+from cassiaford.gateway._clocks import suspended_time
 from cassiaford.gateway._engine_control import (
     EngineCallError,
     EngineControl,
@@ -46,11 +46,6 @@
 STAND_SPREAD_S = 0.25
 
 
-def _suspended_time():
-    """Return a steady time that goes on while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Orderer:
     """Stands for the orderer's lease, and orders engines while it holds it."""
 
@@ -92,7 +87,7 @@
     @property
     def holds(self) -> bool:
         """Whether this instance may give orders now."""
-        return self.fencing > 0 and _suspended_time() < self.valid_until
+        return self.fencing > 0 and suspended_time() < self.valid_until
 
     @property
     def held(self) -> frozenset[int]:
@@ -140,7 +135,7 @@
         await asyncio.sleep(self.rng.random() * STAND_SPREAD_S)
         if self.taken:
             return
-        asked_at = _suspended_time()
+        asked_at = suspended_time()
         try:
             lease = await self.store.grant_lease(LEASE_S)
             result = await self.store.transact(
@@ -165,7 +160,7 @@
         """Order while the lease lasts; renewals go on beside the orders."""
         renewals = asyncio.create_task(self._renew())
         try:
-            while self.fencing and _suspended_time() < self.valid_until:
+            while self.fencing and suspended_time() < self.valid_until:
                 self._give_due_orders()
                 await asyncio.sleep(STEP_S)
         finally:
@@ -183,7 +178,7 @@
     async def _renew(self):
         while self.fencing:
             await asyncio.sleep(RENEW_S)
-            asked_at = _suspended_time()
+            asked_at = suspended_time()
             try:
                 await self.store.renew_lease(self.lease)
             except LeaseEndedError:
