--- a/src/cassiaford/gateway/policy/_engine_book.py
+++ b/src/cassiaford/gateway/policy/_engine_book.py
@@ -96,6 +96,9 @@
     unstarted: int = 0
 
 
+NO_WORK = PlacedWork(0.0, 0, 0)
+
+
 @dataclass(frozen=True)
 class Placement:
     """The engine chosen, and when its first token is expected.
@@ -163,6 +166,8 @@
         self.engines: dict[Hashable, _Engine] = {}
         self.homes = UnitHomes()
         self.prefill_tokens_per_s = PREFILL_TOKENS_PER_S
+        # Peers whose work is known in full, so that a first mention is new work.
+        self._known_peers: set[str] = set()
         self._recent_work_s = 0.0
         self._recent_at = 0.0
 
@@ -249,6 +254,8 @@
         for key, placed in work.items():
             engine = self._engine(key)
             before = engine.peers.get(peer)
+            if before is None and peer in self._known_peers:
+                before = NO_WORK
             engine.peers[peer] = placed
             if before is None or placed.lag_s != before.lag_s:
                 engine.lags[peer] = (placed.lag_s, now)
@@ -257,12 +264,14 @@
                 engine.busy_until = max(now, engine.busy_until) + added
                 self._note_work(added, now)
         if whole:
+            self._known_peers.add(peer)
             for key, engine in self.engines.items():
                 if key not in work:
                     engine.peers.pop(peer, None)
 
     def forget_peer(self, peer: str) -> None:
         """Forget the requests of a peer that is gone; its work still counts."""
+        self._known_peers.discard(peer)
         for engine in self.engines.values():
             engine.peers.pop(peer, None)
             engine.lags.pop(peer, None)
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -225,6 +225,27 @@
         self.assertEqual(roll_out.plan(engines, 0.0), [])
         self.assertEqual(len(roll_out.plan(engines, 0.7)), 1)
 
+    def test_the_first_work_of_a_known_peer_on_an_engine_counts(self):
+        engines = [EngineView(f"e{n}", f"e{n}", 8, 100_000) for n in range(2)]
+        book, peer = EngineBook(), EngineBook()
+        book.hear("a", peer.own_work(), True, 0.0)
+        request = Generation("r1", (), 32_000, 10)
+        placement = peer.place(request, engines, 0.0, random.Random(1))
+        peer.started(request, placement, 0.0)
+        book.hear("a", peer.own_work(), False, 0.01)
+        busy = book.place(Generation("r2", (), 500, 4), engines, 0.01, random.Random(1))
+        self.assertNotEqual(busy.engine, placement.engine)
+
+    def test_the_work_that_a_peer_did_before_it_was_known_does_not_count(self):
+        book, peer = EngineBook(), EngineBook()
+        engines = [EngineView("e0", "e0", 8, 100_000)]
+        request = Generation("r1", (), 32_000, 10)
+        peer.started(request, peer.place(request, engines, 0.0, None), 0.0)
+        peer.ended("r1", "e0")
+        book.hear("a", peer.own_work(), True, 60.0)
+        later = book.place(Generation("r2", (), 500, 4), engines, 60.0, None)
+        self.assertLess(later.first_token_s, 0.2)
+
     def test_peers_count_the_requests_that_wait_for_their_first_token(self):
         engines = [EngineView("e0", "e0", 8, 100_000)]
         book, peer = EngineBook(), EngineBook()
