--- a/src/cassiaford/gateway/_peers.py
+++ b/src/cassiaford/gateway/_peers.py
@@ -117,6 +117,8 @@
 
     def tell(self) -> None:
         """Send one report, of what has changed or of everything."""
+        if self.transport is None or self.transport.is_closing():
+            return
         self._untold_s = 0.0
         whole = next(self._rounds) % WHOLE_EVERY == 0
         work = self._work()
