--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -70,6 +70,7 @@
             dialect, view, placer, trust, prober, pool, {}, log, rng
         )
         self.instances: Callable[[], int] = lambda: 1
+        self.beliefs: Callable[[], dict[str, object]] = dict
         self.leaving = False
         self.refusing = False
         self.in_progress = 0
@@ -205,6 +206,7 @@
             verdict=refusal.verdict.value,
             cause=refusal.message,
             retry_after_s=refusal.retry_after_s,
+            **self.beliefs(),
         )
 
     def _send_refusal(self, connection, refusal):
@@ -239,7 +241,7 @@
             fields["verdict"] = refusal.verdict.value
             not_run = refusal.verdict is Verdict.NOT_RUN
             event = Event.REQUEST_REFUSED if not_run else Event.REQUEST_FAILED
-            self.log.write(event, **fields)
+            self.log.write(event, **fields, **self.beliefs())
             return
         self.metrics.observe(
             Quantity.TIME_TO_FIRST_TOKEN,
@@ -249,7 +251,9 @@
         self._observe_pause(job)
         late = job.missed_target
         if late or job.status >= 500:
-            self.log.write(Event.REQUEST_COMPLETED, late=late, **fields)
+            self.log.write(
+                Event.REQUEST_COMPLETED, late=late, **fields, **self.beliefs()
+            )
         else:
             self.log.write_sampled(Event.REQUEST_COMPLETED, **fields)
 
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -5,7 +5,6 @@
 import random
 import signal
 import time
-import traceback
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -15,7 +14,7 @@
 from cassiaford.gateway._dialect import MalformedError
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._front import Front
-from cassiaford.gateway._gauges import gauges
+from cassiaford.gateway._gauges import beliefs, gauges
 from cassiaford.gateway._mirror import Mirror, MirrorSync, Section
 from cassiaford.gateway._orders import Orderer
 from cassiaford.gateway._peers import PeerReports
@@ -25,6 +24,7 @@
 from cassiaford.gateway._registration import Registration, decode_entry
 from cassiaford.gateway._settings import GatewaySettings
 from cassiaford.gateway._store import Change
+from cassiaford.gateway._tasks import keep_going
 from cassiaford.gateway._view import View
 from cassiaford.gateway._world import GatewayWorld
 from cassiaford.gateway.policy import (
@@ -185,6 +185,7 @@
             rng=self.rng,
         )
         self.front.instances = lambda: len(self.table.expected()) + 1
+        self.front.beliefs = lambda: beliefs(self, self.loop.time())
 
     # Start and stop.
 
@@ -202,7 +203,7 @@
             self.store_prober.run,
             self._keep_house,
         )
-        self._tasks = [self.loop.create_task(self._keep_going(p)) for p in parts]
+        self._tasks = [self.loop.create_task(keep_going(p, self.log)) for p in parts]
         await self.stopping.wait()
         await self._drain()
         await self.close()
@@ -244,16 +245,6 @@
             return False
         return bool(self.view.servers)
 
-    async def _keep_going(self, part):
-        """Run a part; one that fails is logged and started again."""
-        while True:
-            try:
-                await part()
-            except Exception as error:
-                cause = "".join(traceback.format_exception(error))
-                self.log.write(Event.THREAD_FAILED, cause=cause[-2000:])
-            await asyncio.sleep(HOUSEKEEPING_S)
-
     async def _listen(self):
         addresses = self.settings.addresses
         world = self.world
--- a/src/cassiaford/gateway/_gauges.py
+++ b/src/cassiaford/gateway/_gauges.py
@@ -1,4 +1,4 @@
-"""The gauges of a gateway: ages of beliefs, load, what is out of use."""
+"""What metrics and the log tell of a gateway's state."""
 
 from collections.abc import Iterator
 
@@ -20,3 +20,13 @@
     yield "prefill_tokens_per_second", gateway.engines.prefill_tokens_per_s
     yield "engines_demanded", gateway.engines.demand(now)
     yield "log_lines_dropped", gateway.log.dropped
+
+
+def beliefs(gateway, now: float) -> dict[str, object]:
+    """Return how old is what decisions rest on, for the log."""
+    heard_at = gateway.sync.heard_at
+    return {
+        "store_age_s": None if heard_at is None else round(now - heard_at, 3),
+        "peers_live": len(gateway.table.live(now)),
+        "peers_expected": len(gateway.table.expected()),
+    }
--- a/tests/test_platform_log.py
+++ b/tests/test_platform_log.py
@@ -33,6 +33,8 @@
         line = self.line(Event.REQUEST_COMPLETED)
         self.assertEqual((line["status"], line["server"]), (answer.status, "i-0"))
         self.assertGreaterEqual(answer.status, 500)
+        self.assertLess(line["store_age_s"], 25.0)
+        self.assertEqual((line["peers_live"], line["peers_expected"]), (0, 0))
 
     async def test_a_failure_that_is_sent_again_is_named(self):
         gateway = await self.start("desk", Kind="safe", Service="desk")
