--- a/tests/test_roll_out.py
+++ b/tests/test_roll_out.py
@@ -19,7 +19,8 @@
 from cassiaford.pipeline import ServedVersions
 from cassiaford.settings import OrderSettings
 from cassiaford.timeline import HybridClock, Journal
-from tests.fakes import DispatcherCase, full_stream, model_request
+from tests.dispatcher_case import DispatcherCase
+from tests.fakes import full_stream, model_request
 from tests.fakes_keyvalue import FakeKeyValueService
 from tests.process_case import MODEL, ProcessCase, expected_text, judge
 
