--- /dev/null
+++ b/tests/stream_scripts.py
@@ -0,0 +1,23 @@
+"""What fake servers send as streams, in several tests."""
+
+from tests.fakes import DONE, token
+
+EVENTS = [token(number) for number in range(6)]
+WHOLE = b"".join(EVENTS) + DONE
+
+
+def broken_stream(count, end, partial=b""):
+    """Return a script that sends some events and then ends in a way."""
+
+    def script(connection):
+        connection.stream_head(x_request_id=connection.request.headers["x-request-id"])
+        connection.events(*EVENTS[:count])
+        if partial:
+            connection.chunk(partial)
+        end(connection)
+
+    return script
+
+
+def silent(connection):
+    connection.wait_closed()
--- /dev/null
+++ b/tests/test_stream_ends.py
@@ -0,0 +1,180 @@
+"""Tests of streams whose caller leaves, reads slowly, or that a stop meets."""
+
+import random
+import socket
+import threading
+import time
+import unittest
+
+from cassiaford.verdict import Verdict
+from tests.dispatcher_case import DispatcherCase
+from tests.fakes import (
+    DONE,
+    HANG_TIMEOUT_S,
+    Caller,
+    full_stream,
+    model_request,
+    token,
+)
+from tests.stream_scripts import EVENTS, WHOLE, broken_stream, silent
+
+
+class CallerTest(DispatcherCase):
+    def test_a_caller_that_leaves_cancels_the_work(self):
+        server = self.serve(broken_stream(2, silent))
+        setup = self.dispatch(server, silence_timeout_s=HANG_TIMEOUT_S)
+        caller = setup.submit(model_request())
+        caller.read_until(EVENTS[1])
+        caller.sock.close()
+        self.assertEqual(server.cancelled.get(timeout=HANG_TIMEOUT_S), "r1")
+        outcome = setup.outcomes.get("r1")
+        self.assertIs(outcome.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_a_caller_that_left_while_waiting_runs_nothing(self):
+        server = self.serve(broken_stream(2, silent))
+        setup = self.dispatch(server, slots=1, silence_timeout_s=HANG_TIMEOUT_S)
+        first = setup.submit(model_request(1))
+        first.read_until(EVENTS[1])
+        second = setup.submit(model_request(2))
+        second.sock.close()
+        outcome = setup.outcomes.get("r2")
+        self.assertIs(outcome.verdict, Verdict.NOT_RUN)
+        self.assertEqual(len(server.requests), 1)
+        first.sock.close()
+
+    def check_reading_stops(self, count, *scripts):
+        """Check that a server whose caller does not read cannot send all."""
+        sent = []
+
+        def long_stream(connection):
+            connection.stream_head(x_resume_offset=connection.request.offset)
+            for number in range(count):
+                connection.chunk(token(number, "x" * 100_000))
+                sent.append(number)
+            connection.events(DONE)
+            connection.end()
+
+        setup = self.dispatch(self.serve(*scripts, long_stream))
+        caller = setup.submit(model_request(), Caller(buffer_bytes=4096))
+        caller.read_until(b"x")
+        # Once all buffers are full the server's progress stands still.
+        before = -1
+        while before != len(sent):
+            before = len(sent)
+            time.sleep(1.0)
+        self.assertLess(before, count)
+        answer = caller.answer()
+        self.assertTrue(answer.complete)
+        return answer.body.count(b"data: ")
+
+    def test_a_slow_caller_stops_the_reading(self):
+        self.assertEqual(self.check_reading_stops(320), 321)
+
+    def test_a_slow_caller_stops_the_reading_of_a_resumed_stream(self):
+        def one_event_and_the_end(connection):
+            event = token(0, "x" * 100_000)
+            connection.stream_head()
+            connection.send(b"%x\r\n%b\r\n0\r\n\r\n" % (len(event), event))
+
+        self.assertEqual(self.check_reading_stops(320, one_event_and_the_end), 322)
+
+    def test_callers_that_close_at_any_moment_harm_no_one(self):
+        rng = random.Random(5)
+
+        def script(connection):
+            connection.stream_head()
+            for event in EVENTS:
+                connection.chunk(event)
+                time.sleep(0.005)
+            connection.events(DONE)
+            connection.end()
+
+        setup = self.dispatch(self.serve(script), slots=256, queue_length=256)
+        callers = []
+        for number in range(120):
+            callers.append(setup.submit(model_request(number)))
+            if rng.random() < 0.7:
+                _close_some_way(rng, callers.pop(rng.randrange(len(callers))))
+        whole = [caller.answer().body for caller in callers]
+        self.assertEqual(whole, [WHOLE] * len(callers))
+        for number in range(120):
+            setup.outcomes.get(f"r{number}")
+        names = [thread.name for thread in threading.enumerate()]
+        self.assertEqual(sum(name.startswith("dispatch-") for name in names), 8)
+
+    def test_a_socket_closed_before_it_is_handed_over(self):
+        setup = self.dispatch(self.serve(full_stream(*EVENTS)))
+        caller = Caller()
+        caller.far_end.close()
+        setup.submit(model_request(), caller)
+        self.assertEqual(setup.outcomes.get("r1").status, 0)
+        answer, _ = setup.ask(model_request(2))
+        self.assertEqual(answer.body, WHOLE)
+
+
+def _close_some_way(rng, caller):
+    way = rng.randrange(3)
+    if way == 0:
+        caller.sock.shutdown(socket.SHUT_WR)
+    elif way == 1:
+        linger = b"\x01\0\0\0\0\0\0\0"
+        caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    caller.sock.close()
+
+
+class DrainTest(DispatcherCase):
+    def test_drain_waits_for_the_end_of_streams(self):
+        go_on = threading.Event()
+
+        def script(connection):
+            connection.stream_head()
+            connection.events(*EVENTS[:2])
+            go_on.wait(HANG_TIMEOUT_S)
+            connection.events(*EVENTS[2:], DONE)
+            connection.end()
+
+        setup = self.dispatch(self.serve(script), silence_timeout_s=HANG_TIMEOUT_S)
+        caller = setup.submit(model_request())
+        caller.read_until(EVENTS[1])
+        threading.Timer(0.2, go_on.set).start()
+        self.assertEqual(setup.dispatcher.drain(HANG_TIMEOUT_S), 0)
+        self.assertEqual(caller.answer().body, WHOLE)
+
+    def test_drain_cuts_visibly_what_does_not_end(self):
+        setup = self.dispatch(
+            self.serve(broken_stream(2, silent)), silence_timeout_s=HANG_TIMEOUT_S
+        )
+        caller = setup.submit(model_request())
+        caller.read_until(EVENTS[1])
+        self.assertEqual(setup.dispatcher.drain(0.05), 1)
+        answer = caller.answer()
+        self.assertFalse(answer.complete)
+        self.assertEqual(answer.error()["code"], "instance_stopping")
+
+    def test_drain_that_is_ended_cuts_at_once(self):
+        setup = self.dispatch(
+            self.serve(broken_stream(2, silent)), silence_timeout_s=HANG_TIMEOUT_S
+        )
+        caller = setup.submit(model_request())
+        caller.read_until(EVENTS[1])
+        setup.dispatcher.end_drain()
+        self.assertEqual(setup.dispatcher.drain(HANG_TIMEOUT_S), 1)
+        self.assertEqual(caller.answer().error()["code"], "instance_stopping")
+
+    def test_stop_refuses_what_waits(self):
+        setup = self.dispatch(
+            self.serve(broken_stream(2, silent)),
+            slots=1,
+            silence_timeout_s=HANG_TIMEOUT_S,
+        )
+        setup.submit(model_request(1)).read_until(EVENTS[1])
+        waiting = setup.submit(model_request(2))
+        setup.close()
+        self.assertEqual(waiting.answer().error()["verdict"], "not_run")
+        late, outcome = setup.ask(model_request(3))
+        self.assertEqual(late.error()["code"], "instance_stopping")
+        self.assertIs(outcome.verdict, Verdict.NOT_RUN)
+
+
+if __name__ == "__main__":
+    unittest.main()
