--- a/src/cassiaford/policy/_claim_shard.py
+++ b/src/cassiaford/policy/_claim_shard.py
@@ -196,9 +196,13 @@
     def refuse(self, nonce: str, retry_after_s: float) -> Settled:
         """Refuse one pending claim, with all that is known of its key."""
         record = self.pending[nonce].record
+        # Another instance releases its claim only if told that it is not known
+        # to stand: a lost write may have put it in the place of what stood.
+        foreign = record.instance != self.instance
+        unsure = foreign and self._may_be_written(record)
         self.abandon(nonce)
         standing = self._local_view(record)
-        if standing is None or standing.nonce == nonce:
+        if standing is None or standing.nonce == nonce or unsure:
             return Settled(nonce, unavailable(retry_after_s))
         return Settled(nonce, self._second_arrival(standing, record))
 
