--- a/src/cassiaford/gateway/_gauges.py
+++ b/src/cassiaford/gateway/_gauges.py
@@ -20,6 +20,13 @@
     yield "prefill_tokens_per_second", gateway.engines.prefill_tokens_per_s
     yield "engines_demanded", gateway.engines.demand(now)
     yield "log_lines_dropped", gateway.log.dropped
+    shares = gateway.rates.shares_left()
+    yield "customers_over_rate", sum(share <= 0.0 for share in shares)
+    yield "rate_left_least_share", min(shares, default=1.0)
+    budgets = gateway.front.parts.budgets.values()
+    instances = gateway.front.instances()
+    left = [budget.left(now, instances) for budget in budgets]
+    yield "resends_left_least", min(left, default=0.0)
 
 
 def beliefs(gateway, now: float) -> dict[str, object]:
--- a/src/cassiaford/gateway/policy/_fleet_rates.py
+++ b/src/cassiaford/gateway/policy/_fleet_rates.py
@@ -196,6 +196,14 @@
         bucket.next_return_at = return_at + tokens / pace
         return return_at - now
 
+    def shares_left(self) -> list[float]:
+        """Return, for each customer, what is left of what it may spend at once."""
+        return [
+            bucket.level / bucket.limit.burst
+            for bucket in self.buckets.values()
+            if bucket.limit.burst
+        ]
+
     def describe(self, customer: str) -> str:
         """Return a customer's limit and what is left of it, for the log."""
         bucket = self.buckets[customer]
--- a/src/cassiaford/gateway/policy/_send_budget.py
+++ b/src/cassiaford/gateway/policy/_send_budget.py
@@ -32,11 +32,15 @@
         self._expire(now)
         self.requests.append(now)
 
-    def allows(self, now: float, instances: int) -> bool:
-        """Return whether one more resend is within the budget."""
+    def left(self, now: float, instances: int) -> float:
+        """Return how many more resends are within the budget."""
         self._expire(now)
         earned = self.ratio * len(self.requests) + self.slack / max(1, instances)
-        return len(self.resends) + 1 <= CAUTION * earned
+        return CAUTION * earned - len(self.resends)
+
+    def allows(self, now: float, instances: int) -> bool:
+        """Return whether one more resend is within the budget."""
+        return self.left(now, instances) >= 1
 
     def resend(self, now: float, instances: int) -> bool:
         """Take one resend from the budget; return whether there was one."""
