--- a/src/cassiaford/pipeline/_receive.py
+++ b/src/cassiaford/pipeline/_receive.py
@@ -5,28 +5,20 @@
 from dataclasses import dataclass, field
 from urllib.parse import unquote
 
+from cassiaford._hop_by_hop import HOP_BY_HOP
 from cassiaford.pipeline._filter import Filter
 from cassiaford.pipeline._messages import CallerRequest, Header
 from cassiaford.verdict import Refusal, RefusalReason, refuse
 
 # Headers that end at this hop, or that hold what no backend server may see.
-DROPPED_HEADERS = frozenset(
+DROPPED_HEADERS = HOP_BY_HOP | frozenset(
     {
         "authorization",
         "api-key",
-        "connection",
         "content-length",
         "cookie",
         "expect",
         "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
         "x-api-key",
     }
 )
