--- a/src/cassiaford/fleet/_suspects.py
+++ b/src/cassiaford/fleet/_suspects.py
@@ -9,7 +9,7 @@
 from cassiaford._schemas import load_schema
 from cassiaford.fleet._transport import Channel, PeerMessage, PeerTransport
 from cassiaford.logs import Event
-from cassiaford.policy import (
+from cassiaford.suspects import (
     ClearedFingerprint,
     Crash,
     CrashReport,
--- a/src/cassiaford/instance/_crashes.py
+++ b/src/cassiaford/instance/_crashes.py
@@ -6,7 +6,7 @@
 from cassiaford.fleet import SuspectRegistry
 from cassiaford.instance._fingerprint import fingerprint
 from cassiaford.pipeline import AdmittedRequest, SuspectPolicy
-from cassiaford.policy import servers_for_suspects
+from cassiaford.suspects import SuspectPlacement
 from cassiaford.verdict import Refusal, RefusalReason, Verdict
 
 
@@ -21,7 +21,7 @@
         self.registry = registry
         self.observer: EngineObserver | None = None
         self.incarnations: dict[str, str] = {}
-        self.running_suspects: dict[str, set[str]] = {}
+        self.placement = SuspectPlacement()
         self._lock = threading.Lock()
 
     def refusal(self, request: AdmittedRequest) -> Refusal | None:
@@ -57,30 +57,22 @@
         if not suspect:
             return frozenset()
         with self._lock:
-            occupied = {
-                s
-                for s, suspects in self.running_suspects.items()
-                if suspects - {suspect}
-            }
-        instances = self.registry.instances()
-        assigned = servers_for_suspects(servers, instances, self.registry.instance)
-        return frozenset(servers) - (assigned - occupied)
+            return self.placement.servers_to_avoid(
+                suspect, servers, self.registry.instances(), self.registry.instance
+            )
 
     def record_start(self, request: AdmittedRequest, server: str) -> None:
         """Record that a request was sent to a server."""
         suspect = self._suspect_fingerprint(request)
         if suspect:
             with self._lock:
-                self.running_suspects.setdefault(server, set()).add(suspect)
+                self.placement.record_start(suspect, server)
 
     def record_end(self, request: AdmittedRequest, server: str) -> None:
         """Record that a request no longer runs on a server."""
         with self._lock:
-            if server not in self.running_suspects:
-                return
-            self.running_suspects[server].discard(fingerprint(request))
-            if not self.running_suspects[server]:
-                del self.running_suspects[server]
+            if self.placement.running:
+                self.placement.record_end(fingerprint(request), server)
 
     def observe_load(self, server: str, report: LoadReport) -> None:
         """Record the engine's incarnation and forward the report."""
--- a/src/cassiaford/policy/__init__.py
+++ b/src/cassiaford/policy/__init__.py
@@ -129,15 +129,6 @@
 from cassiaford.policy._shares import (
     RateShares,
 )
-from cassiaford.policy._suspects import (
-    ClearedFingerprint,
-    Crash,
-    CrashReport,
-    SuspectMessage,
-    SuspectTracker,
-    SuspicionRequest,
-    servers_for_suspects,
-)
 
 __all__ = [
     "LoanRequest",
@@ -147,9 +138,6 @@
     "ClaimAnswer",
     "ClaimRecord",
     "ClaimState",
-    "ClearedFingerprint",
-    "Crash",
-    "CrashReport",
     "Departure",
     "Departures",
     "ENTRIES_MAX_AGE_S",
@@ -205,11 +193,8 @@
     "RateShares",
     "ShareMessage",
     "Superseded",
-    "SuspectTracker",
-    "SuspectMessage",
     "Ticket",
     "DesiredVersion",
-    "SuspicionRequest",
     "WriteSegment",
     "WriteShard",
     "WriteTable",
@@ -225,5 +210,4 @@
     "rendezvous_score",
     "indicates_crash",
     "unavailable_refusal",
-    "servers_for_suspects",
 ]
--- a/src/cassiaford/policy/_suspects.py
+++ b/src/cassiaford/suspects/_tracker.py
@@ -10,9 +10,10 @@
 """
 
 import collections
-from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+# The crashes at which a request must have been present to be refused, unless a
+# tracker is created with another number.
 CRASHES_TO_REFUSE = 2
 # Without a further crash, a suspicion or a refusal ends after this time.
 SUSPICION_TTL_S = 3600.0
@@ -66,7 +67,8 @@
 class SuspectTracker:
     """One instance's record of the requests that may crash servers.
 
-    Times are in seconds on the instance's monotonic clock.
+    A request that was present at `crashes_to_refuse` crashes is refused. Times
+    are in seconds on the instance's monotonic clock.
 
     Examples
     --------
@@ -77,7 +79,8 @@
     True
     """
 
-    def __init__(self):
+    def __init__(self, crashes_to_refuse: int = CRASHES_TO_REFUSE):
+        self.crashes_to_refuse = crashes_to_refuse
         self.suspicions = collections.OrderedDict()
         self._invalidated = collections.OrderedDict()
 
@@ -118,11 +121,11 @@
 
     def is_suspect(self, fingerprint: str, now: float) -> bool:
         """Return whether a request was present at a crash."""
-        return self._crash_count(fingerprint, now) > 0
+        return self.crash_count(fingerprint, now) > 0
 
     def is_refused(self, fingerprint: str, now: float) -> bool:
         """Return whether a request was present at too many crashes."""
-        return self._crash_count(fingerprint, now) >= CRASHES_TO_REFUSE
+        return self.crash_count(fingerprint, now) >= self.crashes_to_refuse
 
     def crash_reports(self) -> tuple[CrashReport, ...]:
         """Return every suspicion, for a peer that has just started."""
@@ -132,7 +135,8 @@
                 by_crash[crash].append(fingerprint)
         return tuple(CrashReport(crash, tuple(f)) for crash, f in by_crash.items())
 
-    def _crash_count(self, fingerprint, now):
+    def crash_count(self, fingerprint: str, now: float) -> int:
+        """Return the number of crashes at which a request was present."""
         suspicion = self.suspicions.get(fingerprint)
         if suspicion is None:
             return 0
@@ -143,7 +147,7 @@
 
     def _add_crash(self, fingerprint, crash, now):
         # This removes the suspicion if it has expired.
-        self._crash_count(fingerprint, now)
+        self.crash_count(fingerprint, now)
         suspicion = self.suspicions.setdefault(fingerprint, Suspicion(set(), now))
         if crash not in suspicion.crashes:
             suspicion.crashes.add(crash)
@@ -151,28 +155,3 @@
         self.suspicions.move_to_end(fingerprint)
         while len(self.suspicions) > MAX_SUSPECTS:
             self.suspicions.popitem(last=False)
-
-
-def servers_for_suspects(
-    servers: Sequence[str], instances: Iterable[str], instance: str
-) -> frozenset[str]:
-    """Return the servers on which an instance runs its suspects.
-
-    The servers are divided among the instances, so that two instances that have
-    just lost a server, and have not reported it to each other yet, do not send
-    their suspects to the same one. If there are more instances than servers,
-    several instances share one.
-
-    Examples
-    --------
-    >>> servers = ("engine-1", "engine-2", "engine-3")
-    >>> sorted(servers_for_suspects(servers, ("entry-1", "entry-2"), "entry-1"))
-    ['engine-1', 'engine-3']
-    """
-    if not servers:
-        return frozenset()
-    names = sorted({*instances, instance})
-    position = names.index(instance)
-    if len(names) > len(servers):
-        return frozenset((sorted(servers)[position % len(servers)],))
-    return frozenset(sorted(servers)[position :: len(names)])
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -9,7 +9,7 @@
 from cassiaford.fleet import create_suspect_registry
 from cassiaford.instance._crashes import CrashMonitor
 from cassiaford.pipeline import SuspectPolicy
-from cassiaford.policy import Crash, SuspectTracker, servers_for_suspects
+from cassiaford.suspects import Crash, SuspectTracker, servers_for_suspects
 from cassiaford.timeline import HybridClock, Journal
 from cassiaford.verdict import Refusal, RefusalReason, Verdict
 from tests.dispatcher_case import DispatcherCase
