--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -381,6 +381,7 @@
             server=choice.server.server_id,
             cause=job.failure.text if job.failure else "",
             sends=job.sends,
+            fingerprint=job.fingerprint,
             resume_after=job.resume_after or "",
         )
 
--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -236,6 +236,16 @@
         if job.server_id:
             server = Label("server", job.server_id)
             self.metrics.count(Counter.SERVER_REQUESTS, server, verdict_label)
+        if job.sends:
+            self._count_sends(job)
+
+    def _count_sends(self, job):
+        """Count the sends of a request, the repeated ones separately."""
+        service = Label("service", job.service)
+        for kind, amount in (("first", 1), ("repeated", job.sends - 1)):
+            if amount:
+                labels = service, Label("kind", kind)
+                self.metrics.count(Counter.SERVER_SENDS, *labels, amount=amount)
 
     def _record_outcome(self, job, refusal):
         """Record a finished request in metrics and log."""
@@ -282,6 +292,7 @@
             "customer": job.customer.name if job.customer else "",
             "server": job.server_id,
             "sends": job.sends,
+            "fingerprint": job.fingerprint,
             "waited_s": round(job.waited_s, 3),
             "expected_s": round(job.expected_first_token_s, 3),
             "first_s": round(job.first_byte_s, 3)
--- a/src/cassiaford/gateway/_job.py
+++ b/src/cassiaford/gateway/_job.py
@@ -1,10 +1,12 @@
 """The state of an admitted request."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from cassiaford.gateway._caller_connection import CallerConnection
 from cassiaford.gateway._configuration import Customer, Route
 from cassiaford.gateway._messages import HttpRequest, RequestMetadata
+from cassiaford.suspects import request_fingerprint
 from cassiaford.verdict import Failure, Verdict
 
 
@@ -42,6 +44,15 @@
     status: int = 0
     misses_deadline: bool = False
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """The identity that the request keeps when its caller sends it again."""
+        customer = self.customer.name if self.customer is not None else ""
+        request = self.request
+        return request_fingerprint(
+            customer, request.method, request.target, request.body
+        )
+
     @property
     def missed_target(self) -> bool:
         """Whether the response started late or paused for too long."""
--- a/src/cassiaford/metrics/_registry.py
+++ b/src/cassiaford/metrics/_registry.py
@@ -31,6 +31,10 @@
         "cassiaford_server_requests_total",
         "Requests by the backend server that they were last sent to, and verdict.",
     )
+    SERVER_SENDS = (
+        "cassiaford_server_sends_total",
+        "Sends to backend servers by service; repeated ones follow a first one.",
+    )
     PROMPT_TOKENS = ("cassiaford_prompt_tokens_total", "Prompt tokens served.")
     CACHED_TOKENS = (
         "cassiaford_cached_tokens_total",
--- a/tests/test_platform_log.py
+++ b/tests/test_platform_log.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cassiaford.logs import Event
+from cassiaford.suspects import request_fingerprint
 from standins.platform_worker import Behaviour
 from tests.platform_case import PlatformCase, configuration, route
 
@@ -45,6 +46,12 @@
             await self.call(gateway, "/mark/1", method="GET", body=b"")
         line = self.line(Event.REQUEST_RETRIED)
         self.assertIn("an error of its own", line["cause"])
+        self.assertEqual(
+            line["fingerprint"], request_fingerprint("academy", "GET", "/mark/1", b"")
+        )
+        text = gateway._metrics_body("/metrics").decode()
+        sends = 'cassiaford_server_sends_total{service="desk",kind="repeated"} 1'
+        self.assertIn(sends, text)
 
     async def test_a_stream_that_paused_is_always_logged(self):
         gateway = await self.start("engine", GapAimMs=20)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -173,6 +173,7 @@
             f'cassiaford_requests_total{{{labels}"ran"}} 1',
             f'cassiaford_requests_total{{{labels}"may_have_run"}} 1',
             'cassiaford_server_requests_total{server="i-0",verdict="ran"} 1',
+            'cassiaford_server_sends_total{service="desk",kind="first"} 2',
             'cassiaford_refusals_total{reason="backend_server_failed"} 1',
             'cassiaford_time_to_first_token_seconds_count{route="book"} 1',
             "cassiaford_customers_over_rate 0",
