--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -7,6 +7,7 @@
 import asyncio
 import enum
 import json
+from collections.abc import Awaitable, Callable
 
 from standins.platform_http import Call, StandInServer, read_call, response_bytes
 
@@ -29,10 +30,16 @@
     UNFRAMED = "a body without a length, ended by closing the connection"
     CLOSE_AFTER = "a response, then a close without announcing it"
     GARBAGE = "bytes that are not HTTP"
+    CRASH = "the worker crashes as it begins to run the request"
 
 
 class PlatformWorker(StandInServer):
-    """One worker of a service; its streams have `events` events."""
+    """One worker of a service; its streams have `events` events.
+
+    It crashes when it begins to run a request whose body is in `fatal_bodies`,
+    and starts again under another identifier after `recovery_s`, if that is set.
+    `on_restart` is awaited with the identifier that it had before.
+    """
 
     def __init__(self, server_id: str, service: str, zone: str = "a", events: int = 3):
         super().__init__()
@@ -50,6 +57,10 @@
         self.orders: list[dict] = []
         self.state = "ready"
         self.released = asyncio.Event()
+        self.fatal_bodies: frozenset[bytes] = frozenset()
+        self.recovery_s: float | None = None
+        self.on_restart: Callable[[str], Awaitable[None]] | None = None
+        self.crashes = 0
 
     def entry(self) -> dict:
         """Return the entry with which the worker registers in the store."""
@@ -65,6 +76,28 @@
             "Sequence": 1,
         }
 
+    def crash(self) -> None:
+        """End every connection and stop listening, as a process that dies."""
+        self.crashes += 1
+        self.server.close()
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+        current = asyncio.current_task()
+        for task in self.tasks - {current}:
+            task.cancel()
+        if self.recovery_s is not None:
+            task = asyncio.get_running_loop().create_task(self._recover())
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _recover(self):
+        await asyncio.sleep(self.recovery_s)
+        previous = self.server_id
+        self.server_id = f"{previous.partition('+')[0]}+{self.crashes}"
+        await self.start()
+        if self.on_restart is not None:
+            await self.on_restart(previous)
+
     async def serve(self, reader, writer):
         """Handle calls until the connection is closed."""
         while (call := await read_call(reader)) is not None:
@@ -110,6 +143,9 @@
             return True
         attempt = call.headers["x-attempt-id"]
         self.ran.append(attempt)
+        if behaviour is Behaviour.CRASH or call.body in self.fatal_bodies:
+            self.crash()
+            return False
         return await self._execute(behaviour, call, attempt, reader, writer)
 
     def _is_expected(self, call):
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -106,6 +106,7 @@
     async def start_worker(self, server_id, service, **fields):
         """Start and register a worker."""
         worker = PlatformWorker(server_id, service, **fields)
+        worker.on_restart = lambda previous: self._register_again(worker, previous)
         await worker.start()
         self.addAsyncCleanup(worker.stop)
         if service == "engine":
@@ -118,6 +119,10 @@
         """Write a worker's entry to the store."""
         await self.store.put(f"servers/{worker.server_id}", worker.entry())
 
+    async def _register_again(self, worker, previous):
+        await self.store.remove(f"servers/{previous}")
+        await self.register(worker)
+
     async def start_gateway(self, name="entry-1", ready=True, **fields):
         """Start a gateway and wait until it is ready and has every worker's entry."""
         settings = GatewaySettings(
