--- /dev/null
+++ b/src/cassiaford/gateway/_crashes.py
@@ -0,0 +1,278 @@
+"""Requests that crash servers: evidence, reports to peers, the stored record.
+
+Peers report crashes to each other within milliseconds. A request that was
+present at several crashes is also written to the shared store, which reaches
+instances that are cut off from their peers, and outlives a restart of all.
+"""
+
+import asyncio
+import json
+from collections.abc import Callable, Sequence
+
+from cassiaford.gateway._event_log import EventLog
+from cassiaford.gateway._job import Job
+from cassiaford.gateway._messages import BackendServer
+from cassiaford.gateway._mirror import MirrorSync
+from cassiaford.gateway._peer_codec import server_crash
+from cassiaford.gateway._store import Change, SharedStore, StoreError, Write
+from cassiaford.gateway._view import server_key
+from cassiaford.gateway.policy import CrashEvidence, PeerTable
+from cassiaford.logs import Event
+from cassiaford.suspects import (
+    ClearedFingerprint,
+    CrashReport,
+    SuspectPlacement,
+    SuspectTracker,
+)
+from cassiaford.verdict import Refusal, RefusalReason
+
+# Suspects can't always be kept apart here: there may be fewer servers than
+# instances. One crash more than elsewhere tells the fatal request from those
+# that ran beside it twice.
+CRASHES_TO_REFUSE = 3
+# A request is written to the store from this crash on.
+CRASHES_TO_STORE = 2
+# The longest time that the platform's store grants a lease for.
+STORED_FOR_S = 600.0
+# A crash is part of whole reports for this long, in case reports are lost.
+REPEAT_FOR_S = 5.0
+# Keep a report within one datagram.
+MAX_REPORTED = 64
+MAX_WRITES = 16
+RETRY_INTERVAL_S = 1.0
+# Identifies these calls in the tracking of the store's reachability.
+STORE_CLIENT = "suspects"
+
+
+class CrashMonitor:
+    """Finds the requests that crash servers, together with the other instances.
+
+    The gateway sets `on_crash`, which is called when a crash has been recorded
+    and should be reported to peers.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        prefix: str,
+        table: PeerTable,
+        store: SharedStore,
+        sync: MirrorSync,
+        log: EventLog,
+    ):
+        self.instance = instance
+        self.prefix = prefix
+        self.table = table
+        self.store = store
+        self.sync = sync
+        self.log = log
+        self.tracker = SuspectTracker(CRASHES_TO_REFUSE)
+        self.placement = SuspectPlacement()
+        self.evidence = CrashEvidence()
+        self.on_crash: Callable[[], None] = lambda: None
+        self._refused: set[str] = set()
+        self._recent: list[tuple[float, CrashReport | ClearedFingerprint]] = []
+        self._unreported: list[CrashReport | ClearedFingerprint] = []
+        self._unwritten: dict[str, None] = {}
+        self._has_unwritten = asyncio.Event()
+        self._now = asyncio.get_running_loop().time
+
+    @property
+    def refused_count(self) -> int:
+        """The number of requests that are refused."""
+        return len(self._refused)
+
+    # Decisions on requests.
+
+    def refusal(self, job: Job) -> Refusal | None:
+        """Return a refusal if a request has crashed too many servers."""
+        if not self.is_refused(job):
+            return None
+        return Refusal(
+            RefusalReason.CRASHES_SERVERS,
+            job.verdict,
+            "backend servers crashed while they ran this request; it is not run again",
+        )
+
+    def is_refused(self, job: Job) -> bool:
+        """Return whether a request has crashed too many servers."""
+        return self._has_suspects and self.tracker.is_refused(
+            job.fingerprint, self._now()
+        )
+
+    def is_suspect(self, job: Job) -> bool:
+        """Return whether a request was running at a crash."""
+        return self._has_suspects and self.tracker.is_suspect(
+            job.fingerprint, self._now()
+        )
+
+    def servers_to_avoid(self, job: Job, servers: Sequence[int]) -> frozenset[int]:
+        """Return the servers that a suspect should not run on, by key."""
+        if not self.is_suspect(job):
+            return frozenset()
+        instances = (peer.name for peer in self.table.live(self._now()))
+        return self.placement.servers_to_avoid(
+            job.fingerprint, servers, instances, self.instance
+        )
+
+    def record_start(self, job: Job, server: int) -> None:
+        """Record that a request was sent to a server."""
+        if self.is_suspect(job):
+            self.placement.record_start(job.fingerprint, server)
+
+    def record_end(self, job: Job, server: int) -> None:
+        """Record that a request no longer runs on a server."""
+        if self.placement.running:
+            self.placement.record_end(job.fingerprint, server)
+
+    @property
+    def _has_suspects(self):
+        return bool(self.tracker.suspicions)
+
+    # Observations of this instance.
+
+    def record_break(self, job: Job, server: BackendServer) -> None:
+        """Record that a server stopped responding while it ran a request."""
+        key = server_key(server)
+        if self.evidence.record_break(key, job.fingerprint, self._now()):
+            self._record_crash(key, (job.fingerprint,))
+
+    def record_server_end(self, key: int) -> None:
+        """Record that a server's incarnation has ended without draining."""
+        fingerprints = self.evidence.record_end(key, self._now())
+        if fingerprints:
+            self._record_crash(key, fingerprints)
+
+    def record_completion(self, job: Job) -> None:
+        """Clear the suspicion of a request that ran to completion."""
+        if self.evidence.breaks:
+            self.evidence.remove_request(job.fingerprint)
+        if not self._has_suspects:
+            return
+        cleared = self.tracker.record_completion(job.fingerprint, self._now())
+        if cleared is not None:
+            self._unreported.append(cleared)
+
+    def expire(self) -> None:
+        """Remove evidence that is too old to match."""
+        self.evidence.expire(self._now())
+
+    def _record_crash(self, key, fingerprints):
+        now = self._now()
+        crash = server_crash(key)
+        self.tracker.record_crash(crash, fingerprints, now)
+        self.log.write(
+            Event.SERVER_CRASH_REPORTED,
+            server_key=key,
+            requests=len(fingerprints),
+            fingerprints=",".join(fingerprints[:MAX_WRITES]),
+        )
+        self._log_refused(fingerprints)
+        for fingerprint in fingerprints:
+            if self.tracker.crash_count(fingerprint, now) >= CRASHES_TO_STORE:
+                self._unwritten[fingerprint] = None
+                self._has_unwritten.set()
+        self._unreported.append(CrashReport(crash, fingerprints))
+        self.on_crash()
+
+    def _log_refused(self, fingerprints):
+        """Log the requests that are refused from now on."""
+        now = self._now()
+        self._refused &= self.tracker.suspicions.keys()
+        for fingerprint in set(fingerprints) - self._refused:
+            if self.tracker.is_refused(fingerprint, now):
+                self._refused.add(fingerprint)
+                self.log.write(
+                    Event.FATAL_REQUEST_FOUND,
+                    fingerprint=fingerprint,
+                    crashes=self.tracker.crash_count(fingerprint, now),
+                )
+
+    # Reports between instances.
+
+    def messages(self, whole: bool) -> list[CrashReport | ClearedFingerprint]:
+        """Return what the next report to peers contains.
+
+        A whole report repeats what is recent, and all that is known of requests
+        that were present at several crashes.
+        """
+        now = self._now()
+        messages, self._unreported = self._unreported[:], []
+        self._recent += [(now, message) for message in messages]
+        if whole:
+            oldest = now - REPEAT_FOR_S
+            self._recent = [item for item in self._recent if item[0] >= oldest]
+            messages = [message for _, message in self._recent]
+            messages += self._known_repeats(now)
+        return messages[-MAX_REPORTED:]
+
+    def apply(self, message: CrashReport | ClearedFingerprint) -> None:
+        """Apply a peer's message."""
+        if isinstance(message, CrashReport):
+            self.tracker.record_crash(message.crash, message.fingerprints, self._now())
+            self._log_refused(message.fingerprints)
+        else:
+            self.tracker.clear(message)
+
+    def _known_repeats(self, now):
+        counts = {f: self.tracker.crash_count(f, now) for f in self._suspects()}
+        repeated = [f for f, count in counts.items() if count >= CRASHES_TO_STORE]
+        repeated.sort(key=counts.get)
+        return [
+            CrashReport(crash, (fingerprint,))
+            for fingerprint in repeated[-MAX_REPORTED // CRASHES_TO_REFUSE :]
+            for crash in self.tracker.suspicions[fingerprint].crashes
+        ]
+
+    def _suspects(self):
+        return tuple(self.tracker.suspicions)
+
+    # The record in the shared store.
+
+    def apply_change(self, change: Change) -> None:
+        """Apply a change of the record; raise `ValueError` if it is malformed."""
+        if change.item is None:
+            # A lease that ends proves nothing about the request.
+            return
+        fingerprint = change.key.removeprefix(self.prefix).partition("/")[0]
+        for key in decode_crashes(change.item.value):
+            self.tracker.record_crash(server_crash(key), (fingerprint,), self._now())
+        self._log_refused((fingerprint,))
+
+    async def run(self) -> None:
+        """Write the requests present at several crashes until cancelled."""
+        while True:
+            await self._has_unwritten.wait()
+            try:
+                await self._write()
+                self.sync.record_success(STORE_CLIENT)
+            except StoreError as error:
+                self.sync.record_failure(STORE_CLIENT, error)
+                await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def _write(self):
+        fingerprints = list(self._unwritten)[:MAX_WRITES]
+        known = [f for f in fingerprints if f in self.tracker.suspicions]
+        if known:
+            lease = await self.store.grant_lease(STORED_FOR_S)
+            writes = tuple(
+                Write(f"{self.prefix}{f}/{self.instance}", self._encode(f), lease)
+                for f in known
+            )
+            await self.store.transact((), writes)
+        for fingerprint in fingerprints:
+            self._unwritten.pop(fingerprint, None)
+        if not self._unwritten:
+            self._has_unwritten.clear()
+
+    def _encode(self, fingerprint):
+        crashes = self.tracker.suspicions[fingerprint].crashes
+        return json.dumps(sorted(int(c.incarnation) for c in crashes)).encode()
+
+
+def decode_crashes(value: bytes) -> list[int]:
+    """Return the keys of the crashed servers; raise `ValueError`."""
+    keys = json.loads(value)
+    if not isinstance(keys, list) or not all(isinstance(key, int) for key in keys):
+        raise ValueError("the record of a suspect is not a list of numbers")
+    return keys
--- a/src/cassiaford/gateway/_dialect.py
+++ b/src/cassiaford/gateway/_dialect.py
@@ -11,6 +11,7 @@
     RequestMetadata,
     ResponseMetadata,
 )
+from cassiaford.verdict import RefusalReason
 
 
 class MalformedError(ValueError):
@@ -34,6 +35,10 @@
     def read_response(self, status: int, headers: Headers) -> ResponseMetadata:
         """Return the metadata in a backend server's response headers."""
 
+    def status(self, reason: RefusalReason) -> int:
+        """Return the status of a refusal as sent to the caller."""
+        return reason.status
+
     @abstractmethod
     def returned_headers(self, headers: Headers) -> Headers:
         """Return the headers of a response as sent to the caller."""
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import enum
-import random
-from dataclasses import dataclass
 
 from cassiaford.gateway._attempt import (
     Attempt,
@@ -13,15 +11,12 @@
     without_content_length,
 )
 from cassiaford.gateway._configuration import RequestKind
-from cassiaford.gateway._dialect import Dialect
-from cassiaford.gateway._event_log import EventLog
+from cassiaford.gateway._exchange_context import ExchangeContext
 from cassiaford.gateway._job import Job
 from cassiaford.gateway._messages import Forwarding
-from cassiaford.gateway._placer import Choice, Placer, urgency_of
-from cassiaford.gateway._prober import ServerProber
-from cassiaford.gateway._server_connection import ConnectionPool, ExchangeError
-from cassiaford.gateway._view import View
-from cassiaford.gateway.policy import RetryBudget, ServerHealth, should_wait
+from cassiaford.gateway._placer import Choice, urgency_of
+from cassiaford.gateway._server_chooser import ServerChooser
+from cassiaford.gateway._server_connection import ExchangeError
 from cassiaford.logs import Event
 from cassiaford.verdict import Failure, Refusal, RefusalReason, Verdict, refuse
 
@@ -35,9 +30,6 @@
 # Callers abandon a stream after a gap of two seconds. A shorter timeout leaves
 # time to resume on another server.
 STREAM_IDLE_TIMEOUT_S = 1.2
-# Interval at which a request that waits for engines to catch up is placed anew.
-# Up to half as long is added at random, so that instances do not act at once.
-RECHECK_INTERVAL_S = 0.03
 # Minimum Retry-After of a refusal for lack of servers. A random factor of up to
 # two spreads the retries.
 MIN_RETRY_AFTER_S = 0.15
@@ -50,21 +42,6 @@
     FINAL = "final"
 
 
-@dataclass(frozen=True)
-class ExchangeContext:
-    """The collaborators and state that all exchanges share."""
-
-    dialect: Dialect
-    view: View
-    placer: Placer
-    health: ServerHealth
-    prober: ServerProber
-    pool: ConnectionPool
-    budgets: dict[str, RetryBudget]
-    log: EventLog
-    rng: random.Random
-
-
 class Exchange:
     """Serves one job in a fleet of `instances`, or returns a refusal."""
 
@@ -72,6 +49,7 @@
         self.job = job
         self.context = context
         self.instances = instances
+        self.chooser = ServerChooser(job, context, instances)
         self.loop = asyncio.get_running_loop()
 
     async def run(self) -> Refusal | None:
@@ -89,7 +67,10 @@
     async def _send_until_served(self, budget):
         job = self.job
         while True:
-            choice = await self._next_choice()
+            choice = await self.chooser.next_choice()
+            refusal = self.context.crashes.refusal(job)
+            if refusal is not None:
+                return refusal
             now = self.loop.time()
             if choice is None:
                 return self._no_server_refusal(now)
@@ -101,64 +82,6 @@
                 return self._failure_refusal()
             self._log_retry(choice)
 
-    async def _next_choice(self):
-        """Wait while others go first; return a server, or None if none is in time."""
-        job = self.job
-        while True:
-            now = self.loop.time()
-            choice = self._best_choice(now)
-            if choice is None:
-                return None
-            job.expected_first_token_s = choice.first_token_s
-            if self._misses_deadline(choice, now):
-                job.misses_deadline = True
-                return None
-            if not self._should_wait(choice, now):
-                return choice
-            await self._wait_for_recheck(choice.placement.prefill_s)
-
-    def _should_wait(self, choice, now):
-        job = self.job
-        if choice.placement is None or job.head_sent:
-            # Plain services have no prefill to wait for, and a stream that has
-            # started must not pause.
-            return False
-        return should_wait(
-            choice.placement,
-            now - job.request.received_at,
-            job.route.target_latency_s,
-            job.patience_s,
-            self.context.placer.waiting_prefill_s(job.service, self.instances, now),
-        )
-
-    async def _wait_for_recheck(self, prefill_s):
-        """Wait for one interval, counted as waiting prefill work."""
-        job = self.job
-        waiting = self.context.placer.waiting
-        started_at = self.loop.time()
-        waiting.add(job.metadata.attempt_id, prefill_s)
-        try:
-            await asyncio.sleep(
-                RECHECK_INTERVAL_S * (1.0 + 0.5 * self.context.rng.random())
-            )
-        finally:
-            waiting.remove(job.metadata.attempt_id)
-            job.waited_s += self.loop.time() - started_at
-
-    def _best_choice(self, now):
-        job = self.job
-        return self.context.placer.choose(
-            job.service, job.metadata, job.customer, job.tried_servers, job.route, now
-        )
-
-    def _misses_deadline(self, choice, now):
-        """Return whether the deadline passes before the expected first token."""
-        return now + choice.first_token_s > self.job.deadline
-
-    def _has_another_server(self, now):
-        choice = self._best_choice(now)
-        return choice is not None and not self._misses_deadline(choice, now)
-
     async def _run_attempt(self, choice):
         """Send to one server, then relay its response or record its failure."""
         job = self.job
@@ -169,16 +92,18 @@
         )
         placer = self.context.placer
         placer.record_start(choice, job.metadata, job.customer, self.loop.time())
+        self.context.crashes.record_start(job, choice.key)
         try:
             response = await self._receive_response(attempt, choice)
             if response is None:
                 return _AttemptOutcome.RETRY
             return await self._relay(attempt, response, choice)
         except ExchangeError as error:
-            return self._record_failure(attempt, choice, error)
+            return await self._record_failure(attempt, choice, error)
         finally:
             attempt.cancel()
             placer.record_end(choice, job.metadata)
+            self.context.crashes.record_end(job, choice.key)
 
     async def _receive_response(self, attempt, choice):
         """Return the response's head, or None if a server error is to be retried."""
@@ -194,6 +119,7 @@
         except asyncio.CancelledError:
             if attempt.sent:
                 job.verdict = Verdict.MAY_HAVE_RUN
+                self.context.crashes.record_break(job, choice.server)
             raise
         finally:
             if attempt.sent:
@@ -208,8 +134,9 @@
         job.failure = Failure.SERVER_ERROR
         budget = self.context.budgets[job.service]
         now = self.loop.time()
-        retry = budget.allows(now, self.instances) and self._has_another_server(now)
-        return None if retry else response
+        if not budget.allows(now, self.instances):
+            return response
+        return None if self.chooser.has_another_server(now) else response
 
     async def _relay(self, attempt, response, choice):
         if self.job.route.kind is RequestKind.STREAM and response.succeeded:
@@ -222,6 +149,7 @@
         self.job.failure = None
         self.job.status = response.head.status
         self.job.verdict = Verdict.RAN
+        self.context.crashes.record_completion(self.job)
         if response.head.status < 500:
             self.context.health.record_success(choice.key, self.loop.time())
         return _AttemptOutcome.FINAL
@@ -289,7 +217,7 @@
         if self.job.first_byte_s is None:
             self.job.first_byte_s = self.loop.time() - self.job.request.received_at
 
-    def _record_failure(self, attempt, choice, error):
+    async def _record_failure(self, attempt, choice, error):
         job = self.job
         job.failure = error.failure
         now = self.loop.time()
@@ -307,6 +235,13 @@
             self.context.health.record_failure(choice.key, now)
             if error.failure is Failure.RESET_BEFORE_RESPONSE:
                 self.context.prober.record_unreachable(choice.server)
+            elif error.failure is Failure.TRUNCATED_RESPONSE:
+                self.context.prober.probe(choice.server)
+            if error.failure in _CRASH_FAILURES:
+                self.context.crashes.record_break(job, choice.server)
+                if self.context.crashes.is_suspect(job):
+                    # Whether this was a crash decides if the request is sent again.
+                    await self.context.prober.first_result(choice.server)
         return _AttemptOutcome.RETRY
 
     def _response_timeout_s(self):
@@ -398,4 +333,13 @@
     return f"{customer.name if isolated else ''}/{version}"
 
 
+# The failures by which a gateway may notice that a server has crashed.
+_CRASH_FAILURES = frozenset(
+    {
+        Failure.RESET_BEFORE_RESPONSE,
+        Failure.TRUNCATED_RESPONSE,
+        Failure.FIRST_BYTE_TIMEOUT,
+        Failure.IDLE_TIMEOUT,
+    }
+)
 _NOT_RUN_FAILURES = frozenset(f for f in Failure if f.verdict is Verdict.NOT_RUN)
--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -11,6 +11,7 @@
     Customer,
     choose_service,
 )
+from cassiaford.gateway._crashes import CrashMonitor
 from cassiaford.gateway._dialect import Dialect, MalformedError
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._exchange import Exchange, ExchangeContext
@@ -58,6 +59,7 @@
         health: ServerHealth,
         prober: ServerProber,
         pool: ConnectionPool,
+        crashes: CrashMonitor,
         rates: FleetRates,
         retry_limits: RetryLimits,
         log: EventLog,
@@ -72,7 +74,7 @@
         self.metrics = metrics
         self.rng = rng
         self.context = ExchangeContext(
-            dialect, view, placer, health, prober, pool, {}, log, rng
+            dialect, view, placer, health, prober, pool, crashes, {}, log, rng
         )
         self.instance_count: Callable[[], int] = lambda: 1
         self.state_ages: Callable[[], dict[str, object]] = dict
@@ -221,7 +223,7 @@
         headers = []
         if refusal.retry_after_s is not None:
             headers.append(("Retry-After", f"{refusal.retry_after_s:.3f}"))
-        connection.send(refusal.reason.status, headers)
+        connection.send(self.dialect.status(refusal.reason), headers)
         self.metrics.count(Counter.REFUSALS, Label("reason", refusal.reason.code))
 
     def _count_request(self, job, verdict):
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -12,19 +12,26 @@
 from cassiaford.gateway._caller_connection import CallerConnection, listen
 from cassiaford.gateway._clocks import SuspensionWatch
 from cassiaford.gateway._copies import StoreCopies
+from cassiaford.gateway._crashes import CrashMonitor
 from cassiaford.gateway._dialect import MalformedError
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._front import FrontHandler
 from cassiaford.gateway._gauges import gauges, state_ages
 from cassiaford.gateway._mirror import Mirror, MirrorSync, Section
 from cassiaford.gateway._orders import Orderer
+from cassiaford.gateway._own_keys import (
+    INSTANCES_PREFIX,
+    ORDERER_KEY,
+    OWN_PREFIX,
+    SUSPECTS_PREFIX,
+    OwnKeys,
+)
 from cassiaford.gateway._peers import PeerReports
 from cassiaford.gateway._placer import Placer
 from cassiaford.gateway._plain_handlers import BodyHandler, ProbeHandler
 from cassiaford.gateway._prober import PrefixStoreProber, ServerProber
-from cassiaford.gateway._registration import Registration, decode_entry
+from cassiaford.gateway._registration import Registration
 from cassiaford.gateway._settings import GatewaySettings
-from cassiaford.gateway._store import Change
 from cassiaford.gateway._tasks import run_with_restarts
 from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import (
@@ -39,10 +46,6 @@
 from cassiaford.logs import Event
 from cassiaford.metrics import Metrics
 
-# Keys of the gateways in the shared store.
-OWN_PREFIX = "cassiaford/"
-INSTANCES_PREFIX = OWN_PREFIX + "instances/"
-ORDERER_KEY = OWN_PREFIX + "orderer"
 # Short batch window: reloaded engines stay out of use until their entries are seen.
 SERVER_BATCH_WINDOW_S = 0.12
 # Interval between checks for expired state.
@@ -105,7 +108,6 @@
         self.table = PeerTable()
         self.view = View(self.adapter.records, self.rates, self.log)
         self.view.on_versions_changed = self.engines.clear_cached_prefixes
-        self.view.on_own_key_changed = self._own_key_changed
         self.view.on_servers_changed = self._servers_changed
         self.view.on_configuration_changed = self._update_readiness
 
@@ -141,15 +143,30 @@
         self.orderer.demand = self.engines.demand
 
     def _create_peers(self):
+        self.crashes = CrashMonitor(
+            self.state.name,
+            SUSPECTS_PREFIX,
+            self.table,
+            self.adapter.store,
+            self.sync,
+            self.log,
+        )
+        self.view.on_server_ended = self.crashes.record_server_end
         self.peers = PeerReports(
             self.state,
             self.table,
             self.engines,
             self.services,
             self.rates,
+            self.crashes,
             self.log,
         )
+        self.crashes.on_crash = self.peers.send_report
+        self.view.on_own_key_changed = OwnKeys(
+            self.table, self.registration, self.orderer, self.crashes, self.log
+        ).on_change
         self.prober = ServerProber(self.view, self.health, self.adapter.pool, self.log)
+        self.prober.on_refused = self.crashes.record_server_end
         self.orderer.unreachable = lambda: self.prober.unreachable
         self.store_prober = PrefixStoreProber(self.view, self.adapter.pool, self.log)
         self.peers.on_unreachable = self.prober.probe_reported
@@ -179,6 +196,7 @@
             health=self.health,
             prober=self.prober,
             pool=self.adapter.pool,
+            crashes=self.crashes,
             rates=self.rates,
             retry_limits=settings.retry_limits,
             log=self.log,
@@ -201,6 +219,7 @@
             self.registration.run,
             self.orderer.run,
             self.peers.run,
+            self.crashes.run,
             self.store_prober.run,
             self._run_housekeeping,
         )
@@ -319,6 +338,7 @@
     def _expire_state(self):
         now = self.loop.time()
         self.view.expire()
+        self.crashes.expire()
         self.engines.prefix_locations.expire(now)
         self.adapter.pool.close_expired()
         for name in self.table.expire(now):
@@ -353,25 +373,6 @@
         self.health.retain(keys)
         self._update_readiness()
 
-    def _own_key_changed(self, change: Change):
-        now = self.loop.time()
-        if change.key == ORDERER_KEY:
-            self.orderer.on_key_changed(change.item is not None)
-            return
-        name = change.key.removeprefix(INSTANCES_PREFIX)
-        if name == self.state.name:
-            if change.item is None and not self.stopping.is_set():
-                self.registration.registered = False
-        elif change.item is None:
-            self.table.unregister(name)
-        else:
-            try:
-                self.table.register(decode_entry(change.item.value), now)
-            except ValueError as error:
-                self.log.write(
-                    Event.REVISION_REJECTED, key=change.key, cause=str(error)
-                )
-
     def _store_reachable_since(self, moment: float) -> bool:
         if not self.sync.reachable:
             return False
--- a/src/cassiaford/gateway/_gauges.py
+++ b/src/cassiaford/gateway/_gauges.py
@@ -24,6 +24,8 @@
     fractions = gateway.rates.remaining_fractions()
     yield "customers_over_rate", sum(fraction <= 0.0 for fraction in fractions)
     yield "rate_left_least_share", min(fractions, default=1.0)
+    yield "requests_suspect", len(gateway.crashes.tracker.suspicions)
+    yield "requests_refused_after_crashes", gateway.crashes.refused_count
     budgets = gateway.front.context.budgets.values()
     instances = gateway.front.instance_count()
     remaining = [budget.remaining(now, instances) for budget in budgets]
--- a/src/cassiaford/gateway/_peer_codec.py
+++ b/src/cassiaford/gateway/_peer_codec.py
@@ -7,6 +7,7 @@
 from cassiaford._schemas import load_schema
 from cassiaford.gateway._store import Item, Page
 from cassiaford.gateway.policy import PeerState, PlacedWork
+from cassiaford.suspects import ClearedFingerprint, Crash, CrashReport
 
 _schema = load_schema(__file__, "peers.capnp")
 
@@ -20,7 +21,8 @@
     """The report that an instance sends to its peers several times a second.
 
     `work`, `out_of_use` and `unreachable` name backend servers by digest,
-    `spending` customers, and `placements` prefixes and engines. Only a whole
+    `spending` customers, and `placements` prefixes and engines. `suspicions` are
+    about the requests that were running on crashed servers. Only a whole
     report has the sender's state and its estimate of the prefill speed; others
     identify the sender by its digest and contain only changes.
     """
@@ -36,6 +38,7 @@
     out_of_use: frozenset[int] = frozenset()
     unreachable: frozenset[int] = frozenset()
     placements: tuple[tuple[int, int], ...] = ()
+    suspicions: tuple[CrashReport | ClearedFingerprint, ...] = ()
 
     @property
     def whole(self) -> bool:
@@ -77,6 +80,7 @@
     ):
         entry.customer = customer
         entry.tokens = tokens
+    _encode_suspicions(message, report.suspicions)
     return message.to_bytes_packed()
 
 
@@ -104,11 +108,44 @@
             out_of_use=frozenset(message.held),
             unreachable=frozenset(message.unreachable),
             placements=tuple((p.unit, p.server) for p in message.placements),
+            suspicions=_suspicions(message),
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         raise PeerMessageError(str(error)) from error
 
 
+def _encode_suspicions(message, suspicions):
+    message.crashes = [
+        {"server": int(s.crash.incarnation), "requests": list(s.fingerprints)}
+        for s in suspicions
+        if isinstance(s, CrashReport)
+    ]
+    message.cleared = [
+        {
+            "request": s.fingerprint,
+            "servers": [int(crash.incarnation) for crash in s.crashes],
+        }
+        for s in suspicions
+        if isinstance(s, ClearedFingerprint)
+    ]
+
+
+def _suspicions(message):
+    crashes = (
+        CrashReport(server_crash(c.server), tuple(c.requests)) for c in message.crashes
+    )
+    cleared = (
+        ClearedFingerprint(c.request, tuple(map(server_crash, c.servers)))
+        for c in message.cleared
+    )
+    return (*crashes, *cleared)
+
+
+def server_crash(key: int) -> Crash:
+    """Return the crash of the server with a key, the same on all instances."""
+    return Crash("", str(key))
+
+
 def _state(message):
     return PeerState(
         message.name,
--- a/src/cassiaford/gateway/_peers.py
+++ b/src/cassiaford/gateway/_peers.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Callable
 
+from cassiaford.gateway._crashes import CrashMonitor
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._peer_codec import (
     PeerMessageError,
@@ -48,6 +49,7 @@
         engines: EnginePlacer,
         services: ServicePlacer,
         rates: FleetRates,
+        crashes: CrashMonitor,
         log: EventLog,
     ):
         self.state = state
@@ -55,6 +57,7 @@
         self.engines = engines
         self.services = services
         self.rates = rates
+        self.crashes = crashes
         self.log = log
         self.out_of_use: frozenset[int] = frozenset()
         self.unreachable: frozenset[int] = frozenset()
@@ -136,7 +139,8 @@
             "held": self.out_of_use,
             "unreachable": self.unreachable,
         }
-        same = current == self._reported and not placements
+        suspicions = tuple(self.crashes.messages(whole))
+        same = current == self._reported and not placements and not suspicions
         if not whole and same and self._skipped < MAX_SKIPPED_REPORTS:
             self._skipped += 1
             return
@@ -157,6 +161,7 @@
             out_of_use=self.out_of_use,
             unreachable=self.unreachable,
             placements=placements,
+            suspicions=suspicions,
         )
         data = encode_report(report)
         for peer in self.table.all():
@@ -214,6 +219,8 @@
             self.peers_out_of_use[name] = report.out_of_use
             self.on_out_of_use()
         self.on_unreachable(report.unreachable)
+        for message in report.suspicions:
+            self.crashes.apply(message)
         if report.revision > self.revision():
             self.on_newer_peer(state, report.revision)
 
--- a/src/cassiaford/gateway/_prober.py
+++ b/src/cassiaford/gateway/_prober.py
@@ -1,6 +1,7 @@
 """Probes of backend servers and prefix stores that could not be reached."""
 
 import asyncio
+from collections.abc import Callable
 
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._messages import BackendServer
@@ -58,7 +59,11 @@
 
 
 class ServerProber:
-    """Detects when a server can be reached again, without using requests."""
+    """Detects when a server can be reached again, without using requests.
+
+    The gateway sets `on_refused`, which is called with the key of a server on
+    whose machine no process listens any more.
+    """
 
     def __init__(
         self, view: View, health: ServerHealth, pool: ConnectionPool, log: EventLog
@@ -67,7 +72,9 @@
         self.health = health
         self.pool = pool
         self.log = log
+        self.on_refused: Callable[[int], None] = lambda key: None
         self.tasks: dict[int, asyncio.Task] = {}
+        self._first_results: dict[int, asyncio.Event] = {}
         self._now = asyncio.get_running_loop().time
 
     @property
@@ -83,24 +90,44 @@
         self.log.write(Event.SERVER_SUSPECTED, server=server.server_id)
         self._start(key)
 
+    def probe(self, server: BackendServer) -> None:
+        """Probe a server that may have ended, without a backoff until it fails."""
+        self._start(server_key(server))
+
     def probe_reported(self, keys: frozenset[int]) -> None:
         """Probe the servers that a peer reports as unreachable."""
         for key in keys - self.health.unreachable_servers:
             if not self.health.succeeded_recently(key, self._now()):
                 self._start(key)
 
+    async def first_result(self, server: BackendServer) -> None:
+        """Wait until the first attempt of a server's latest probe has ended."""
+        result = self._first_results.get(server_key(server))
+        if result is not None:
+            await result.wait()
+
     def _start(self, key):
         task = self.tasks.get(key)
         if task is None or task.done():
-            self.tasks[key] = asyncio.create_task(self._probe(key))
+            first_result = self._first_results[key] = asyncio.Event()
+            self.tasks[key] = asyncio.create_task(self._probe(key, first_result))
+
+    async def _probe(self, key, first_result):
+        try:
+            await self._connect_until_reachable(key, first_result)
+        finally:
+            first_result.set()
 
-    async def _probe(self, key):
+    async def _connect_until_reachable(self, key, first_result):
         delay_s = FIRST_PROBE_DELAY_S
         while (server := self._server(key)) is not None:
             try:
                 connection = await self.pool.connect(server.address, PROBE_TIMEOUT_S)
-            except ExchangeError:
+            except ExchangeError as error:
                 self.health.record_unreachable(key, self._now())
+                if error.refused:
+                    self.on_refused(key)
+                first_result.set()
                 await asyncio.sleep(delay_s)
                 delay_s = min(2 * delay_s, MAX_PROBE_DELAY_S)
                 continue
--- a/src/cassiaford/gateway/_registration.py
+++ b/src/cassiaford/gateway/_registration.py
@@ -66,6 +66,7 @@
         self.sync = sync
         self.lease = 0
         self.registered = False
+        self.withdrawn = False
 
     async def run(self) -> None:
         """Register the instance, and renew its lease until cancelled."""
@@ -84,8 +85,14 @@
                 self.sync.record_failure(STORE_CLIENT, error)
             await asyncio.sleep(RENEWAL_INTERVAL_S * (0.8 + 0.4 * self.rng.random()))
 
+    def on_entry_removed(self) -> None:
+        """Register again, unless the instance itself has removed its entry."""
+        if not self.withdrawn:
+            self.registered = False
+
     async def withdraw(self) -> None:
         """Remove the entry, so that peers no longer list this instance."""
+        self.withdrawn = True
         if not self.registered:
             return
         self.registered = False
--- /dev/null
+++ b/src/cassiaford/gateway/_server_chooser.py
@@ -0,0 +1,94 @@
+"""The choice of a server for each attempt of a request."""
+
+import asyncio
+
+from cassiaford.gateway._exchange_context import ExchangeContext
+from cassiaford.gateway._job import Job
+from cassiaford.gateway._placer import Choice
+from cassiaford.gateway.policy import should_wait
+
+# Interval at which a request that waits for engines to catch up is placed anew.
+# Up to half as long is added at random, so that instances do not act at once.
+RECHECK_INTERVAL_S = 0.03
+
+
+class ServerChooser:
+    """Chooses servers for one job in a fleet of `instances`."""
+
+    def __init__(self, job: Job, context: ExchangeContext, instances: int):
+        self.job = job
+        self.context = context
+        self.instances = instances
+        self.loop = asyncio.get_running_loop()
+
+    async def next_choice(self) -> Choice | None:
+        """Wait while others go first; return a server, or None if none may be used."""
+        job = self.job
+        while not self.context.crashes.is_refused(job):
+            now = self.loop.time()
+            choice = self._best_choice(now)
+            if choice is None:
+                return None
+            job.expected_first_token_s = choice.first_token_s
+            if self._misses_deadline(choice, now):
+                job.misses_deadline = True
+                return None
+            if not self._should_wait(choice, now):
+                return choice
+            await self._wait_for_recheck(choice.placement.prefill_s)
+        return None
+
+    def _should_wait(self, choice, now):
+        job = self.job
+        if choice.placement is None or job.head_sent:
+            # Plain services have no prefill to wait for, and a stream that has
+            # started must not pause.
+            return False
+        return should_wait(
+            choice.placement,
+            now - job.request.received_at,
+            job.route.target_latency_s,
+            job.patience_s,
+            self.context.placer.waiting_prefill_s(job.service, self.instances, now),
+        )
+
+    async def _wait_for_recheck(self, prefill_s):
+        """Wait for one interval, counted as waiting prefill work."""
+        job = self.job
+        waiting = self.context.placer.waiting
+        started_at = self.loop.time()
+        waiting.add(job.metadata.attempt_id, prefill_s)
+        try:
+            await asyncio.sleep(
+                RECHECK_INTERVAL_S * (1.0 + 0.5 * self.context.rng.random())
+            )
+        finally:
+            waiting.remove(job.metadata.attempt_id)
+            job.waited_s += self.loop.time() - started_at
+
+    def _best_choice(self, now):
+        """Return the best server, of those for suspects if the request is one."""
+        job = self.job
+        context = self.context
+        servers = tuple(context.view.servers.get(job.service, ()))
+        avoided = context.crashes.servers_to_avoid(job, servers)
+        if avoided:
+            choice = self._choose(job.tried_servers | avoided, now)
+            if choice is not None and not self._misses_deadline(choice, now):
+                return choice
+        return self._choose(job.tried_servers, now)
+
+    def _choose(self, excluded, now):
+        job = self.job
+        return self.context.placer.choose(
+            job.service, job.metadata, job.customer, excluded, job.route, now
+        )
+
+    def _misses_deadline(self, choice, now):
+        """Return whether the deadline passes before the expected first token."""
+        return now + choice.first_token_s > self.job.deadline
+
+    def has_another_server(self, now: float) -> bool:
+        """Return whether another server could take the request in time."""
+        choice = self._best_choice(now)
+        return choice is not None and not self._misses_deadline(choice, now)
--- a/src/cassiaford/gateway/_server_connection.py
+++ b/src/cassiaford/gateway/_server_connection.py
@@ -31,11 +31,15 @@
 
 
 class ExchangeError(Exception):
-    """An exchange with a server failed; `failure` says how."""
+    """An exchange with a server failed; `failure` says how.
 
-    def __init__(self, failure: Failure, detail: str = ""):
+    `refused` is whether the server's machine responded that no process listens.
+    """
+
+    def __init__(self, failure: Failure, detail: str = "", *, refused: bool = False):
         super().__init__(detail or failure.text)
         self.failure = failure
+        self.refused = refused
 
 
 @dataclass(frozen=True)
@@ -310,7 +314,10 @@
                     ServerConnection, host, int(port)
                 )
         except (OSError, ValueError) as error:
-            raise ExchangeError(Failure.CONNECT_FAILED, str(error)) from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise ExchangeError(
+                Failure.CONNECT_FAILED, str(error), refused=refused
+            ) from error
         return connection
 
     async def acquire(self, address: str) -> ServerConnection:
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -41,9 +41,11 @@
         self.registry = ServerRegistry()
         self.servers: dict[str, dict[int, BackendServer]] = {}
         self.replaced_keys: set[int] = set()
+        self._serving_keys: set[int] = set()
         self.named_versions = NamedVersions()
         self.on_versions_changed: Callable[[int], None] = lambda key: None
         self.on_own_key_changed: Callable[[Change], None] = lambda change: None
+        self.on_server_ended: Callable[[int], None] = lambda key: None
         self.on_servers_changed: Callable[[], None] = lambda: None
         self.on_configuration_changed: Callable[[], None] = lambda: None
         self.now = asyncio.get_running_loop().time
@@ -75,6 +77,7 @@
             self.replaced_keys.add(key)
             self.log.write(Event.SERVER_REPLACED, server=server.server_id)
             self._index_servers()
+            self.on_server_ended(key)
 
     def engines_of(self, model: str) -> dict[int, BackendServer]:
         """Return the engines that have a model, by key."""
@@ -166,13 +169,20 @@
     def _index_servers(self):
         servers = {}
         keys = set()
+        serving_keys = set()
         for server in _newest_by_address(self.registry.servers.values()):
             key = server_key(server)
             keys.add(key)
+            if not server.draining:
+                serving_keys.add(key)
             if not server.draining and key not in self.replaced_keys:
                 servers.setdefault(server.service, {})[key] = server
         self.replaced_keys &= keys
         self.servers = servers
+        ended = self._serving_keys - keys
+        self._serving_keys = serving_keys
+        for key in ended:
+            self.on_server_ended(key)
         self.on_servers_changed()
 
 
--- a/src/cassiaford/gateway/peers.capnp
+++ b/src/cassiaford/gateway/peers.capnp
@@ -23,6 +23,16 @@
   server @1 :UInt32;
 }
 
+struct Crash {
+  server @0 :UInt32;         # digest of the backend server's incarnation
+  requests @1 :List(Text);   # fingerprints
+}
+
+struct Cleared {
+  request @0 :Text;          # fingerprint of a request that has completed
+  servers @1 :List(UInt32);  # whose crashes it is cleared of
+}
+
 # A report that is not whole identifies its sender by digest and contains only
 # what has changed; only whole reports contain the texts.
 struct Report {
@@ -42,6 +52,8 @@
   unreachable @13 :List(UInt32);
   sender @14 :UInt32;       # digest of the sender's name
   readSpeed @15 :UInt32;    # the sender's estimate, in prefill tokens a second
+  crashes @16 :List(Crash);
+  cleared @17 :List(Cleared);
 }
 
 # An instance's copy of a part of the store, for a peer whose calls to the store fail.
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -94,6 +94,7 @@
     ORDERS_RESUMED = (1706, Level.INFO, "orders resumed")
     LAST_SERVER_KEPT = (1707, Level.WARNING, "last serving engine not reloaded")
     SERVER_CRASH_REPORTED = (1711, Level.WARNING, "requests suspect after a crash")
+    FATAL_REQUEST_FOUND = (1712, Level.ERROR, "request refused from now on")
 
     # 18xx: the key-value service.
     KEY_VALUE_LOST = (1801, Level.WARNING, "key-value service does not respond")
--- a/src/cassiaford/platform/_dialect.py
+++ b/src/cassiaford/platform/_dialect.py
@@ -13,6 +13,7 @@
     RequestMetadata,
     ResponseMetadata,
 )
+from cassiaford.verdict import RefusalReason
 
 # Headers that only the gateway may set; those sent by callers are dropped.
 _SYSTEM_HEADERS = frozenset(
@@ -103,6 +104,13 @@
             server_id=fields.get("x-instance-id"),
         )
 
+    def status(self, reason: RefusalReason) -> int:
+        """Return the status of a refusal as sent to the caller."""
+        # Here a 4xx says that the caller's request violates the protocol.
+        if reason is RefusalReason.CRASHES_SERVERS:
+            return RefusalReason.BACKEND_FAILED.status
+        return super().status(reason)
+
     def returned_headers(self, headers: Headers) -> Headers:
         """Return the headers of a response as sent to the caller."""
         dropped = HOP_BY_HOP | _SERVER_HEADERS | _connection_options(headers)
