--- a/src/cassiaford/gateway/_crashes.py
+++ b/src/cassiaford/gateway/_crashes.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._job import Job
@@ -16,19 +16,17 @@
 from cassiaford.gateway._peer_codec import server_crash
 from cassiaford.gateway._store import Change, SharedStore, StoreError, Write
 from cassiaford.gateway._view import server_key
-from cassiaford.gateway.policy import CrashEvidence, PeerTable
+from cassiaford.gateway.policy import CrashEvidence
 from cassiaford.logs import Event
 from cassiaford.suspects import (
     ClearedFingerprint,
     CrashReport,
-    SuspectPlacement,
     SuspectTracker,
 )
 from cassiaford.verdict import Refusal, RefusalReason
 
-# Suspects can't always be kept apart here: there may be fewer servers than
-# instances. One crash more than elsewhere tells the fatal request from those
-# that ran beside it twice.
+# Suspects are not kept apart here, since gateways may outnumber the servers, so
+# requests beside a fatal one often meet its next crash too.
 CRASHES_TO_REFUSE = 3
 # A request is written to the store from this crash on.
 CRASHES_TO_STORE = 2
@@ -55,22 +53,19 @@
         self,
         instance: str,
         prefix: str,
-        table: PeerTable,
         store: SharedStore,
         sync: MirrorSync,
         log: EventLog,
     ):
         self.instance = instance
         self.prefix = prefix
-        self.table = table
         self.store = store
         self.sync = sync
         self.log = log
         self.tracker = SuspectTracker(CRASHES_TO_REFUSE)
-        self.placement = SuspectPlacement()
         self.evidence = CrashEvidence()
         self.on_crash: Callable[[], None] = lambda: None
-        self._refused: set[str] = set()
+        self.refused: set[str] = set()
         self._recent: list[tuple[float, CrashReport | ClearedFingerprint]] = []
         self._unreported: list[CrashReport | ClearedFingerprint] = []
         self._unwritten: dict[str, None] = {}
@@ -80,7 +75,7 @@
     @property
     def refused_count(self) -> int:
         """The number of requests that are refused."""
-        return len(self._refused)
+        return len(self.refused)
 
     # Decisions on requests.
 
@@ -106,25 +101,6 @@
             job.fingerprint, self._now()
         )
 
-    def servers_to_avoid(self, job: Job, servers: Sequence[int]) -> frozenset[int]:
-        """Return the servers that a suspect should not run on, by key."""
-        if not self.is_suspect(job):
-            return frozenset()
-        instances = (peer.name for peer in self.table.live(self._now()))
-        return self.placement.servers_to_avoid(
-            job.fingerprint, servers, instances, self.instance
-        )
-
-    def record_start(self, job: Job, server: int) -> None:
-        """Record that a request was sent to a server."""
-        if self.is_suspect(job):
-            self.placement.record_start(job.fingerprint, server)
-
-    def record_end(self, job: Job, server: int) -> None:
-        """Record that a request no longer runs on a server."""
-        if self.placement.running:
-            self.placement.record_end(job.fingerprint, server)
-
     @property
     def _has_suspects(self):
         return bool(self.tracker.suspicions)
@@ -178,10 +154,10 @@
     def _log_refused(self, fingerprints):
         """Log the requests that are refused from now on."""
         now = self._now()
-        self._refused &= self.tracker.suspicions.keys()
-        for fingerprint in set(fingerprints) - self._refused:
+        self.refused &= self.tracker.suspicions.keys()
+        for fingerprint in set(fingerprints) - self.refused:
             if self.tracker.is_refused(fingerprint, now):
-                self._refused.add(fingerprint)
+                self.refused.add(fingerprint)
                 self.log.write(
                     Event.FATAL_REQUEST_FOUND,
                     fingerprint=fingerprint,
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -92,7 +92,6 @@
         )
         placer = self.context.placer
         placer.record_start(choice, job.metadata, job.customer, self.loop.time())
-        self.context.crashes.record_start(job, choice.key)
         try:
             response = await self._receive_response(attempt, choice)
             if response is None:
@@ -103,7 +102,6 @@
         finally:
             attempt.cancel()
             placer.record_end(choice, job.metadata)
-            self.context.crashes.record_end(job, choice.key)
 
     async def _receive_response(self, attempt, choice):
         """Return the response's head, or None if a server error is to be retried."""
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -146,7 +146,6 @@
         self.crashes = CrashMonitor(
             self.state.name,
             SUSPECTS_PREFIX,
-            self.table,
             self.adapter.store,
             self.sync,
             self.log,
--- a/src/cassiaford/gateway/_server_chooser.py
+++ b/src/cassiaford/gateway/_server_chooser.py
@@ -67,21 +67,9 @@
             job.waited_s += self.loop.time() - started_at
 
     def _best_choice(self, now):
-        """Return the best server, of those for suspects if the request is one."""
-        job = self.job
-        context = self.context
-        servers = tuple(context.view.servers.get(job.service, ()))
-        avoided = context.crashes.servers_to_avoid(job, servers)
-        if avoided:
-            choice = self._choose(job.tried_servers | avoided, now)
-            if choice is not None and not self._misses_deadline(choice, now):
-                return choice
-        return self._choose(job.tried_servers, now)
-
-    def _choose(self, excluded, now):
         job = self.job
         return self.context.placer.choose(
-            job.service, job.metadata, job.customer, excluded, job.route, now
+            job.service, job.metadata, job.customer, job.tried_servers, job.route, now
         )
 
     def _misses_deadline(self, choice, now):
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -106,6 +106,7 @@
         self.addAsyncCleanup(self.store.stop)
         self.attempts = itertools.count(1)
         self.gateways = []
+        self.tasks = {}
         self.workers = {}
 
     async def start_worker(self, server_id, service, **fields):
@@ -151,6 +152,7 @@
         gateway = Gateway(settings, adapter, random.Random(name))
         task = asyncio.create_task(gateway.run())
         self.gateways.append(gateway)
+        self.tasks[gateway] = task
         self.addAsyncCleanup(self._stop_gateway, task, gateway)
         if ready:
             await self.wait_until(
