--- a/src/cassiaford/gateway/_crashes.py
+++ b/src/cassiaford/gateway/_crashes.py
@@ -28,6 +28,8 @@
 # Suspects are not kept apart here, since gateways may outnumber the servers, so
 # requests beside a fatal one often meet its next crash too.
 CRASHES_TO_REFUSE = 3
+# One more run tells which of several requests that met the same crashes is fatal.
+CRASHES_IF_AMBIGUOUS = 4
 # A request is written to the store from this crash on.
 CRASHES_TO_STORE = 2
 # The longest time that the platform's store grants a lease for.
@@ -62,7 +64,7 @@
         self.store = store
         self.sync = sync
         self.log = log
-        self.tracker = SuspectTracker(CRASHES_TO_REFUSE)
+        self.tracker = SuspectTracker(CRASHES_TO_REFUSE, CRASHES_IF_AMBIGUOUS)
         self.evidence = CrashEvidence()
         self.on_crash: Callable[[], None] = lambda: None
         self.refused: set[str] = set()
@@ -129,9 +131,10 @@
         if cleared is not None:
             self._unreported.append(cleared)
 
-    def expire(self) -> None:
-        """Remove evidence that is too old to match."""
+    def update(self) -> None:
+        """Remove evidence that is too old, and log which requests are now refused."""
         self.evidence.expire(self._now())
+        self._update_refused()
 
     def _record_crash(self, key, fingerprints):
         now = self._now()
@@ -143,7 +146,6 @@
             requests=len(fingerprints),
             fingerprints=",".join(fingerprints[:MAX_WRITES]),
         )
-        self._log_refused(fingerprints)
         for fingerprint in fingerprints:
             if self.tracker.crash_count(fingerprint, now) >= CRASHES_TO_STORE:
                 self._unwritten[fingerprint] = None
@@ -151,18 +153,17 @@
         self._unreported.append(CrashReport(crash, fingerprints))
         self.on_crash()
 
-    def _log_refused(self, fingerprints):
+    def _update_refused(self):
         """Log the requests that are refused from now on."""
         now = self._now()
-        self.refused &= self.tracker.suspicions.keys()
-        for fingerprint in set(fingerprints) - self.refused:
-            if self.tracker.is_refused(fingerprint, now):
-                self.refused.add(fingerprint)
-                self.log.write(
-                    Event.FATAL_REQUEST_FOUND,
-                    fingerprint=fingerprint,
-                    crashes=self.tracker.crash_count(fingerprint, now),
-                )
+        refused = {f for f in self._suspects() if self.tracker.is_refused(f, now)}
+        for fingerprint in refused - self.refused:
+            self.log.write(
+                Event.FATAL_REQUEST_FOUND,
+                fingerprint=fingerprint,
+                crashes=self.tracker.crash_count(fingerprint, now),
+            )
+        self.refused = refused
 
     # Reports between instances.
 
@@ -186,7 +187,6 @@
         """Apply a peer's message."""
         if isinstance(message, CrashReport):
             self.tracker.record_crash(message.crash, message.fingerprints, self._now())
-            self._log_refused(message.fingerprints)
         else:
             self.tracker.clear(message)
 
@@ -213,7 +213,6 @@
         fingerprint = change.key.removeprefix(self.prefix).partition("/")[0]
         for key in decode_crashes(change.item.value):
             self.tracker.record_crash(server_crash(key), (fingerprint,), self._now())
-        self._log_refused((fingerprint,))
 
     async def run(self) -> None:
         """Write the requests present at several crashes until cancelled."""
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -337,7 +337,7 @@
     def _expire_state(self):
         now = self.loop.time()
         self.view.expire()
-        self.crashes.expire()
+        self.crashes.update()
         self.engines.prefix_locations.expire(now)
         self.adapter.pool.close_expired()
         for name in self.table.expire(now):
--- a/src/cassiaford/suspects/_tracker.py
+++ b/src/cassiaford/suspects/_tracker.py
@@ -67,8 +67,10 @@
 class SuspectTracker:
     """One instance's record of the requests that may crash servers.
 
-    A request that was present at `crashes_to_refuse` crashes is refused. Times
-    are in seconds on the instance's monotonic clock.
+    A request that was present at `crashes_to_refuse` crashes is refused, unless
+    another one was present at all of them too; then either may be the cause, and
+    both are refused only at `crashes_if_ambiguous` crashes, by default as many.
+    Times are in seconds on the instance's monotonic clock.
 
     Examples
     --------
@@ -79,8 +81,13 @@
     True
     """
 
-    def __init__(self, crashes_to_refuse: int = CRASHES_TO_REFUSE):
+    def __init__(
+        self,
+        crashes_to_refuse: int = CRASHES_TO_REFUSE,
+        crashes_if_ambiguous: int | None = None,
+    ):
         self.crashes_to_refuse = crashes_to_refuse
+        self.crashes_if_ambiguous = crashes_if_ambiguous or crashes_to_refuse
         self.suspicions = collections.OrderedDict()
         self._invalidated = collections.OrderedDict()
 
@@ -125,7 +132,10 @@
 
     def is_refused(self, fingerprint: str, now: float) -> bool:
         """Return whether a request was present at too many crashes."""
-        return self.crash_count(fingerprint, now) >= self.crashes_to_refuse
+        count = self.crash_count(fingerprint, now)
+        if count < self.crashes_to_refuse:
+            return False
+        return count >= self.crashes_if_ambiguous or not self._is_ambiguous(fingerprint)
 
     def crash_reports(self) -> tuple[CrashReport, ...]:
         """Return every suspicion, for a peer that has just started."""
@@ -145,6 +155,15 @@
             return 0
         return len(suspicion.crashes)
 
+    def _is_ambiguous(self, fingerprint):
+        """Return whether another request was present at all of its crashes."""
+        crashes = self.suspicions[fingerprint].crashes
+        return any(
+            crashes <= suspicion.crashes
+            for other, suspicion in self.suspicions.items()
+            if other != fingerprint
+        )
+
     def _add_crash(self, fingerprint, crash, now):
         # This removes the suspicion if it has expired.
         self.crash_count(fingerprint, now)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -79,6 +79,27 @@
                     refused = [f for f in names if tracker.is_refused(f, 8.0)]
                     self.assertEqual(refused, [FATAL])
 
+    def test_a_request_that_met_all_crashes_of_a_fatal_one_is_not_refused(self):
+        tracker = SuspectTracker(crashes_to_refuse=3, crashes_if_ambiguous=4)
+        for number in range(3):
+            tracker.record_crash(
+                Crash(f"engine-{number}", "1"), (FATAL, "beside"), float(number)
+            )
+        self.assertFalse(tracker.is_refused(FATAL, 3.0))
+        self.assertFalse(tracker.is_refused("beside", 3.0))
+        tracker.record_completion("beside", 4.0)
+        self.assertTrue(tracker.is_refused(FATAL, 5.0))
+
+    def test_ambiguous_requests_are_refused_after_one_more_crash(self):
+        tracker = SuspectTracker(crashes_to_refuse=3, crashes_if_ambiguous=4)
+        for number in range(4):
+            beside = ("beside",) if number < 3 else ()
+            tracker.record_crash(
+                Crash(f"engine-{number}", "1"), (FATAL, *beside), float(number)
+            )
+        self.assertTrue(tracker.is_refused(FATAL, 5.0))
+        self.assertFalse(tracker.is_refused("beside", 5.0))
+
     def test_one_crash_seen_by_two_instances_counts_once(self):
         tracker = SuspectTracker()
         for _ in range(2):
