--- a/bench/_stream_gateway.py
+++ b/bench/_stream_gateway.py
@@ -92,6 +92,7 @@
         weights_within_s=6.0,
         drain_s=1.0,
         directory_ttl_s=1.0,
+        first_start=True,
     )
     pool = ConnectionPool()
     adapter = create_adapter("127.0.0.1:9", pool)
--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -48,7 +48,8 @@
     """Handles callers' requests on the front address.
 
     `leaving` makes connections close after their responses, and `refusing`
-    refuses all new requests; both belong to a planned stop.
+    refuses all new requests; both belong to a planned stop. `slack_from` is the
+    time from which the slack of retry budgets may be used.
     """
 
     def __init__(
@@ -80,6 +81,7 @@
         self.state_ages: Callable[[], dict[str, object]] = dict
         self.leaving = False
         self.refusing = False
+        self.slack_from = 0.0
         self.in_progress = 0
         self.loop = asyncio.get_running_loop()
 
@@ -190,7 +192,7 @@
         if service not in self.context.budgets:
             limits = self.retry_limits
             self.context.budgets[service] = RetryBudget(
-                limits.ratio, limits.slack, limits.window_s
+                limits.ratio, limits.slack, limits.window_s, self.slack_from
             )
 
     def _refuse(self, connection, refusal, job):
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -202,6 +202,8 @@
             metrics=self.metrics,
             rng=self.rng,
         )
+        if not settings.first_start:
+            self.front.slack_from = self.loop.time() + settings.retry_limits.window_s
         self.front.instance_count = lambda: len(self.table.expected()) + 1
         self.front.state_ages = lambda: state_ages(self, self.loop.time())
 
@@ -211,7 +213,11 @@
         """Serve until SIGTERM, then stop gracefully."""
         self.loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         self.loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self.log.write(Event.INSTANCE_STARTED, incarnation=self.state.incarnation)
+        self.log.write(
+            Event.INSTANCE_STARTED,
+            incarnation=self.state.incarnation,
+            first_start=self.settings.first_start,
+        )
         await self._listen()
         components = (
             self.sync.run,
--- a/src/cassiaford/gateway/_settings.py
+++ b/src/cassiaford/gateway/_settings.py
@@ -37,7 +37,8 @@
     addition to its rate. `weights_within_s` is the time within which every
     engine must have newly named weights. `drain_s` is the time from a planned
     stop to the end of the process. `directory_ttl_s` is how long callers may
-    cache a response of the directory.
+    cache a response of the directory. `first_start` is whether the whole fleet
+    starts for the first time, so that nothing was spent before.
     """
 
     instance: str
@@ -49,3 +50,4 @@
     weights_within_s: float
     drain_s: float
     directory_ttl_s: float
+    first_start: bool = False
--- a/src/cassiaford/gateway/policy/_retry_budget.py
+++ b/src/cassiaford/gateway/policy/_retry_budget.py
@@ -10,8 +10,9 @@
     """Limits a service's retries to a fraction of its recent requests.
 
     The fleet may retry `ratio` times the requests of a window, and `slack`
-    more. An instance takes the part for its own requests, and an even part of
-    the slack.
+    more. An instance takes the part for its own requests and, from `slack_from`
+    on, an even part of the slack. An instance that has restarted does not know
+    what it spent before, so it must not use the slack for a whole window.
 
     Examples
     --------
@@ -20,10 +21,13 @@
     [True, True, False]
     """
 
-    def __init__(self, ratio: float, slack: float, window_s: float):
+    def __init__(
+        self, ratio: float, slack: float, window_s: float, slack_from: float = 0.0
+    ):
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
+        self.slack_from = slack_from
         self.requests: collections.deque[float] = collections.deque()
         self.retries: collections.deque[float] = collections.deque()
 
@@ -35,7 +39,9 @@
     def remaining(self, now: float, instances: int) -> float:
         """Return how many more retries are within the budget."""
         self._expire(now)
-        earned = self.ratio * len(self.requests) + self.slack / max(1, instances)
+        earned = self.ratio * len(self.requests)
+        if now >= self.slack_from:
+            earned += self.slack / max(1, instances)
         return SAFETY_FACTOR * earned - len(self.retries)
 
     def allows(self, now: float, instances: int) -> bool:
--- a/src/cassiaford/platform/_settings.py
+++ b/src/cassiaford/platform/_settings.py
@@ -8,7 +8,7 @@
     MalformedError,
     RetryLimits,
 )
-from cassiaford.platform._json import number, parse_object, string
+from cassiaford.platform._json import boolean, number, parse_object, string
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "CASSIAFORD_BOOT"
@@ -50,6 +50,7 @@
         rate_window_s=number(bounds, "QuotaWindowS", _DEFAULT_RATE_WINDOW_S),
         weights_within_s=number(bounds, "VersionMs", _DEFAULT_WEIGHTS_WITHIN_MS) / 1000,
         drain_s=number(bounds, "GraceS", _DEFAULT_GRACE_S),
+        first_start=boolean(document, "Bootstrap"),
         directory_ttl_s=min(DIRECTORY_TTL_S, number(bounds, "ttl_max_s", 5)),
     )
 
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -147,6 +147,7 @@
             weights_within_s=6.0,
             drain_s=fields.pop("drain_s", 4.0),
             directory_ttl_s=1.0,
+            first_start=fields.pop("first_start", True),
         )
         adapter = create_adapter(self.store.address, ConnectionPool())
         gateway = Gateway(settings, adapter, random.Random(name))
