--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -188,6 +188,12 @@
     def _request_tokens(self, job):
         return job.metadata.tokens or job.customer.plain_request_tokens
 
+    def set_retry_limits(self, limits: RetryLimits) -> None:
+        """Put new limits on retries in force."""
+        self.retry_limits = limits
+        for budget in self.context.budgets.values():
+            budget.set_limits(limits.ratio, limits.slack, limits.window_s)
+
     def _ensure_budget(self, service):
         if service not in self.context.budgets:
             limits = self.retry_limits
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -213,10 +213,9 @@
         """Serve until SIGTERM, then stop gracefully."""
         self.loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         self.loop.add_signal_handler(signal.SIGHUP, self._reload)
+        first, incarnation = self.settings.first_start, self.state.incarnation
         self.log.write(
-            Event.INSTANCE_STARTED,
-            incarnation=self.state.incarnation,
-            first_start=self.settings.first_start,
+            Event.INSTANCE_STARTED, incarnation=incarnation, first_start=first
         )
         await self._listen()
         components = (
@@ -261,8 +260,7 @@
         addresses = self.settings.addresses
         unchanged = settings.addresses == addresses
         self.settings = replace(settings, addresses=addresses)
-        self.front.retry_limits = settings.retry_limits
-        self.front.context.budgets.clear()
+        self.front.set_retry_limits(settings.retry_limits)
         self.orderer.rollout.deadline_s = settings.weights_within_s
         self.log.write(Event.SETTINGS_RELOADED, addresses_kept=unchanged)
 
@@ -391,11 +389,8 @@
     # The directory.
 
     def _directory_body(self, target):
-        addresses = [
-            peer.front_address
-            for peer in self.table.live(self.loop.time())
-            if peer.ready
-        ]
+        live = self.table.live(self.loop.time())
+        addresses = [peer.front_address for peer in live if peer.ready]
         if self.ready:
             addresses.append(self.state.front_address)
         self.rng.shuffle(addresses)
--- a/src/cassiaford/gateway/policy/_retry_budget.py
+++ b/src/cassiaford/gateway/policy/_retry_budget.py
@@ -31,6 +31,12 @@
         self.requests: collections.deque[float] = collections.deque()
         self.retries: collections.deque[float] = collections.deque()
 
+    def set_limits(self, ratio: float, slack: float, window_s: float) -> None:
+        """Change the limits; what was spent stays spent."""
+        self.ratio = ratio
+        self.slack = slack
+        self.window_s = window_s
+
     def record_request(self, now: float) -> None:
         """Record a request for the service."""
         self._expire(now)
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 from cassiaford.gateway import RetryLimits
 from cassiaford.gateway.policy import RetryBudget
@@ -113,3 +114,20 @@
         self.assertLessEqual(resends, limits.ratio * 20)
         restarted.front.context.budgets["desk"].slack_from = 0.0
         self.assertGreater(await self.fail_requests(restarted, 5), 0)
+
+    async def test_a_reload_does_not_forget_the_resends_of_the_window(self):
+        gateway = await self.start_gateway()
+        await self.fail_requests(gateway, 60)
+        gateway.reload = lambda: gateway.settings
+        gateway._reload()
+        limits = gateway.settings.retry_limits
+        self.assertLessEqual(await self.fail_requests(gateway, 20), limits.ratio * 20)
+
+    async def test_a_reload_puts_new_limits_in_force(self):
+        gateway = await self.start_gateway()
+        await self.fail_requests(gateway, 1)
+        limits = RetryLimits(ratio=0.0, slack=0.0, window_s=10.0)
+        settings = replace(gateway.settings, retry_limits=limits)
+        gateway.reload = lambda: settings
+        gateway._reload()
+        self.assertEqual(await self.fail_requests(gateway, 5), 0)
