--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -43,13 +43,16 @@
 
 
 class Exchange:
-    """Serves one job in a fleet of `instances`, or returns a refusal."""
+    """Serves one job in a fleet of `instances`, or returns a refusal.
 
-    def __init__(self, job: Job, context: ExchangeContext, instances: int):
+    `instances` is None while the size of the fleet is unknown.
+    """
+
+    def __init__(self, job: Job, context: ExchangeContext, instances: int | None):
         self.job = job
         self.context = context
         self.instances = instances
-        self.chooser = ServerChooser(job, context, instances)
+        self.chooser = ServerChooser(job, context, instances or 1)
         self.loop = asyncio.get_running_loop()
 
     async def run(self) -> Refusal | None:
--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -77,7 +77,7 @@
         self.context = ExchangeContext(
             dialect, view, placer, health, prober, pool, crashes, {}, log, rng
         )
-        self.instance_count: Callable[[], int] = lambda: 1
+        self.instance_count: Callable[[], int | None] = lambda: 1
         self.state_ages: Callable[[], dict[str, object]] = dict
         self.leaving = False
         self.refusing = False
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -186,7 +186,7 @@
             weights_grace_s=settings.weights_within_s - WEIGHTS_MARGIN_S,
             rng=self.rng,
         )
-        self.placer.store_reachable_since = self._store_reachable_since
+        self.placer.store_reachable_since = self.sync.reachable_since
         self.placer.on_placement = self.peers.record_placement
         self.front = FrontHandler(
             dialect=self.adapter.dialect,
@@ -204,7 +204,7 @@
         )
         if not settings.first_start:
             self.front.slack_from = self.loop.time() + settings.retry_limits.window_s
-        self.front.instance_count = lambda: len(self.table.expected()) + 1
+        self.front.instance_count = self._instance_count
         self.front.state_ages = lambda: state_ages(self, self.loop.time())
 
     # Start and stop.
@@ -376,10 +376,11 @@
         self.health.retain(keys)
         self._update_readiness()
 
-    def _store_reachable_since(self, moment: float) -> bool:
-        if not self.sync.reachable:
-            return False
-        return self.sync.lost_at is None or self.sync.lost_at < moment
+    def _instance_count(self):
+        """Return the size of the fleet, or None before its entries were read."""
+        if not self.mirror.revisions[OWN_PREFIX]:
+            return None
+        return len(self.table.expected()) + 1
 
     def _metrics_body(self, target):
         for name, value in gauges(self, self.loop.time()):
--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -145,6 +145,10 @@
         """Whether the store has responded to every client's latest call."""
         return self.last_response_at is not None and not self.failing
 
+    def reachable_since(self, moment: float) -> bool:
+        """Return whether the store has been reachable since a time."""
+        return self.reachable and (self.lost_at is None or self.lost_at < moment)
+
     async def run(self) -> None:
         """Follow every section until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/src/cassiaford/gateway/policy/_retry_budget.py
+++ b/src/cassiaford/gateway/policy/_retry_budget.py
@@ -42,19 +42,22 @@
         self._expire(now)
         self.requests.append(now)
 
-    def remaining(self, now: float, instances: int) -> float:
-        """Return how many more retries are within the budget."""
+    def remaining(self, now: float, instances: int | None) -> float:
+        """Return how many more retries are within the budget.
+
+        There is no part of the slack in a fleet of unknown size.
+        """
         self._expire(now)
         earned = self.ratio * len(self.requests)
-        if now >= self.slack_from:
+        if instances is not None and now >= self.slack_from:
             earned += self.slack / max(1, instances)
         return SAFETY_FACTOR * earned - len(self.retries)
 
-    def allows(self, now: float, instances: int) -> bool:
+    def allows(self, now: float, instances: int | None) -> bool:
         """Return whether one more retry is within the budget."""
         return self.remaining(now, instances) >= 1
 
-    def take(self, now: float, instances: int) -> bool:
+    def take(self, now: float, instances: int | None) -> bool:
         """Take one retry from the budget; return whether there was one."""
         allowed = self.allows(now, instances)
         if allowed:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -18,10 +18,11 @@
     """The faults in effect.
 
     `lose_write_responses` is the number of writes that take effect but get no
-    response.
+    response. Reads of keys below `refused_prefix` are refused, if it is set.
     """
 
     refuse: bool = False
+    refused_prefix: str | None = None
     silent: bool = False
     lose_write_responses: int = 0
 
@@ -85,7 +86,7 @@
             self.calls.append(f"{call.method} {call.path}")
             if self.faults.silent:
                 await asyncio.sleep(3600)
-            if self.faults.refuse:
+            if self.faults.refuse or self._is_refused_read(call):
                 status, document = 503, {}
             else:
                 status, document = await self._handle(call)
@@ -95,6 +96,10 @@
             writer.write(response_bytes(status, {}, json.dumps(document).encode()))
             await writer.drain()
 
+    def _is_refused_read(self, call):
+        prefix = self.faults.refused_prefix
+        return prefix is not None and call.query.get("PathPrefix", "") == prefix
+
     async def _handle(self, call):
         self._expire_due_leases()
         name = call.path.lstrip("/").partition("/")
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from cassiaford.gateway import RetryLimits
+from cassiaford.gateway._own_keys import OWN_PREFIX
 from cassiaford.gateway.policy import RetryBudget
 from standins.platform_worker import Behaviour
 from tests.platform_case import PlatformCase, configuration
@@ -131,3 +132,12 @@
         gateway.reload = lambda: settings
         gateway._reload()
         self.assertEqual(await self.fail_requests(gateway, 5), 0)
+
+    async def test_an_instance_that_knows_no_fleet_uses_no_slack(self):
+        self.store.faults.refused_prefix = OWN_PREFIX
+        gateway = await self.start_gateway()
+        limits = gateway.settings.retry_limits
+        self.assertLessEqual(await self.fail_requests(gateway, 20), limits.ratio * 20)
+        self.store.faults.refused_prefix = None
+        await self.wait_until(lambda: gateway.mirror.complete)
+        self.assertGreater(await self.fail_requests(gateway, 5), 0)
