--- a/src/cassiaford/gateway/_registration.py
+++ b/src/cassiaford/gateway/_registration.py
@@ -69,8 +69,8 @@
         self.withdrawn = False
 
     async def run(self) -> None:
-        """Register the instance, and renew its lease until cancelled."""
-        while True:
+        """Register the instance, and renew its lease until it withdraws."""
+        while not self.withdrawn:
             try:
                 if self.registered:
                     await self.store.renew_lease(self.lease)
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -5,6 +5,7 @@
 import signal
 
 from cassiaford.gateway import GatewaySettings
+from cassiaford.gateway._registration import RENEWAL_INTERVAL_S
 from standins.platform_worker import Behaviour, PlatformWorker
 from tests.platform_case import (
     API_KEY,
@@ -220,6 +221,15 @@
         await self.wait_until(lambda: not self.instance_keys())
         self.assertFalse(gateway.ready)
 
+    async def test_a_stopping_instance_does_not_register_again(self):
+        gateway = await self.start_gateway(drain_s=8.0)
+        await self.wait_until(lambda: gateway.registration.registered)
+        gateway.stopping.set()
+        await self.wait_until(lambda: not self.instance_keys())
+        # Longer than the longest interval between two renewals.
+        await asyncio.sleep(1.2 * RENEWAL_INTERVAL_S + 0.2)
+        self.assertEqual(self.instance_keys(), [])
+
     async def test_settings_are_reloaded_on_a_signal(self):
         gateway = await self.start_gateway()
         changed = GatewaySettings(
