--- a/src/cassiaford/gateway/_copies.py
+++ b/src/cassiaford/gateway/_copies.py
@@ -41,7 +41,7 @@
 
     def body(self, target: str) -> bytes | None:
         """Return the copy, or None while it is not complete."""
-        return encode_snapshot(self.mirror.snapshot()) if self.mirror.complete else None
+        return self._encode() if self.mirror.complete else None
 
     def on_newer_peer(self, peer: PeerState, revision: int) -> None:
         """Fetch the copy of a peer with a newer one if the store is unreachable."""
@@ -53,13 +53,16 @@
         self._requested_at = self._now()
         self._task = asyncio.create_task(self._fetch(peer))
 
+    def _encode(self):
+        return encode_snapshot(self.mirror.snapshot(), self.mirror.era)
+
     async def _fetch(self, peer):
         try:
             reply = await self.client.call(
                 "GET", peer.peer_address, COPY_TARGET, COPY_TIMEOUT_S
             )
             if reply.status == 200 and self.mirror.apply_newer(
-                decode_snapshot(reply.body)
+                *decode_snapshot(reply.body)
             ):
                 self.log.write(Event.PEER_COPY_APPLIED, peer=peer.name)
         except (CallFailedError, PeerMessageError) as error:
--- a/src/cassiaford/gateway/_crashes.py
+++ b/src/cassiaford/gateway/_crashes.py
@@ -147,12 +147,16 @@
             fingerprints=",".join(fingerprints[:MAX_WRITES]),
         )
         for fingerprint in fingerprints:
-            if self.tracker.crash_count(fingerprint, now) >= CRASHES_TO_STORE:
-                self._unwritten[fingerprint] = None
-                self._has_unwritten.set()
+            self._store_if_repeated(fingerprint)
         self._unreported.append(CrashReport(crash, fingerprints))
         self.on_crash()
 
+    def _store_if_repeated(self, fingerprint):
+        """Have a request written to the store if it was present at several crashes."""
+        if self.tracker.crash_count(fingerprint, self._now()) >= CRASHES_TO_STORE:
+            self._unwritten[fingerprint] = None
+            self._has_unwritten.set()
+
     def _update_refused(self):
         """Log the requests that are refused from now on."""
         now = self._now()
@@ -207,10 +211,12 @@
 
     def apply_change(self, change: Change) -> None:
         """Apply a change of the record; raise `ValueError` if it is malformed."""
+        fingerprint, _, writer = change.key.removeprefix(self.prefix).partition("/")
         if change.item is None:
-            # A lease that ends proves nothing about the request.
+            # A record that has lapsed or was lost clears nothing.
+            if writer == self.instance:
+                self._store_if_repeated(fingerprint)
             return
-        fingerprint = change.key.removeprefix(self.prefix).partition("/")[0]
         for key in decode_crashes(change.item.value):
             self.tracker.record_crash(server_crash(key), (fingerprint,), self._now())
 
--- a/src/cassiaford/gateway/_http_caller.py
+++ b/src/cassiaford/gateway/_http_caller.py
@@ -17,6 +17,7 @@
 
     status: int
     body: bytes = field(repr=False)
+    headers: Headers = ()
 
 
 class CallFailedError(Exception):
@@ -50,7 +51,7 @@
                 lines = [("Host", address), *headers]
                 connection.start(request_bytes(method, target, lines, body))
                 head = await connection.head()
-                reply = Reply(head.status, await connection.body())
+                reply = Reply(head.status, await connection.body(), head.headers)
         except ExchangeError as error:
             self._drop(connection)
             raise CallFailedError(str(error), connection is not None) from error
--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -24,6 +24,8 @@
 WATCH_TIMEOUT_S = 20.0
 # Delay after a change, so that the changes that follow are fetched together.
 BATCH_WINDOW_S = 0.25
+# Leaves the lower bits of a number to revisions.
+ERA_SHIFT = 40
 # The delay after a failed call doubles with each further failure.
 FIRST_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.8
@@ -61,33 +63,44 @@
         self.listener = listener
         self.items: dict[str, dict[str, Item]] = {s.prefix: {} for s in sections}
         self.revisions: dict[str, int] = {s.prefix: 0 for s in sections}
+        self.era = 0
 
     def replace(self, prefix: str, page: Page) -> None:
-        """Replace all items of a section by those of a revision."""
+        """Replace all items of a section by those of a revision.
+
+        In another era of the store, a revision may be lower than before.
+        """
         items = self.items[prefix]
         for key in set(items) - {item.key for item in page.items}:
             del items[key]
             self.listener.on_change(Change(key, page.revision, None))
         for item in page.items:
-            self._put(prefix, item)
+            if items.get(item.key) != item:
+                self._put(prefix, item)
         self.revisions[prefix] = page.revision
 
     def apply(self, prefix: str, changes: Changes) -> None:
         """Apply the changes of a section up to a revision."""
         for change in changes.changes:
             if change.item is not None:
-                self._put(prefix, change.item)
+                previous = self.items[prefix].get(change.key)
+                if previous is None or previous.revision < change.revision:
+                    self._put(prefix, change.item)
             elif self.items[prefix].pop(change.key, None) is not None:
                 self.listener.on_change(change)
         self.revisions[prefix] = max(changes.revision, self.revisions[prefix])
 
-    def apply_newer(self, snapshot: dict[str, Page]) -> bool:
+    def apply_newer(self, snapshot: dict[str, Page], era: int) -> bool:
         """Apply the newer sections of a peer's mirror; return whether any was newer."""
+        if era < self.era:
+            return False
         newer = {
             prefix: page
             for prefix, page in snapshot.items()
-            if page.revision > self.revisions.get(prefix, page.revision)
+            if prefix in self.revisions
+            and (era > self.era or page.revision > self.revisions[prefix])
         }
+        self.era = era
         for prefix, page in newer.items():
             self.replace(prefix, page)
         return bool(newer)
@@ -101,8 +114,8 @@
 
     @property
     def revision(self) -> int:
-        """The sum of the sections' revisions; a newer mirror's is higher."""
-        return sum(self.revisions.values())
+        """A number that is higher for a newer mirror: era and sum of revisions."""
+        return (self.era << ERA_SHIFT) + sum(self.revisions.values())
 
     @property
     def complete(self) -> bool:
@@ -110,10 +123,8 @@
         return all(self.revisions.values())
 
     def _put(self, prefix, item):
-        previous = self.items[prefix].get(item.key)
-        if previous is None or previous.revision < item.revision:
-            self.items[prefix][item.key] = item
-            self.listener.on_change(Change(item.key, item.revision, item))
+        self.items[prefix][item.key] = item
+        self.listener.on_change(Change(item.key, item.revision, item))
 
 
 class MirrorSync:
@@ -157,34 +168,52 @@
 
     async def _follow(self, section):
         delay_s = FIRST_RETRY_DELAY_S
-        loaded = False
+        loaded_era = None
         while True:
             try:
-                if loaded:
+                if loaded_era == self.store.era:
                     await self._watch(section)
                 else:
-                    await self._load(section)
-                    loaded = True
+                    loaded_era = await self._load(section)
                 delay_s = FIRST_RETRY_DELAY_S
             except HistoryLostError:
                 self.record_success(section.prefix)
-                loaded = False
+                loaded_era = None
             except StoreError as error:
                 self.record_failure(section.prefix, error)
                 await asyncio.sleep(delay_s * (0.5 + self.rng.random()))
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
 
     async def _load(self, section):
+        """Read a section anew; return the era that it was read in."""
+        era = self.store.era
         page = await self.store.read(section.prefix)
         # The listener must know of the recovery before it gets the removal of
         # entries that lapsed in the outage.
         self.record_success(section.prefix)
+        if era and era != self.store.era:
+            # Pages of two eras do not fit together.
+            return era
+        self._enter_era()
         self.mirror.replace(section.prefix, page)
+        return self.mirror.era
+
+    def _enter_era(self):
+        """Start the store's era, in which entries may be missing at first."""
+        era = self.store.era
+        if era == self.mirror.era:
+            return
+        if self.mirror.era:
+            self.log.write(Event.KEY_VALUE_RESTORED, era=era)
+            self.mirror.listener.on_store_recovered()
+        self.mirror.era = era
 
     async def _watch(self, section):
         after = self.mirror.revisions[section.prefix]
         changes = await self.store.watch(section.prefix, after, WATCH_TIMEOUT_S)
         self.record_success(section.prefix)
+        if self.store.era != self.mirror.era:
+            return
         self.mirror.apply(section.prefix, changes)
         if changes.changes:
             await asyncio.sleep(section.batch_window_s)
--- a/src/cassiaford/gateway/_orders.py
+++ b/src/cassiaford/gateway/_orders.py
@@ -1,7 +1,8 @@
 """Orders to load new weights, given by the one instance that holds a lease.
 
-The orderer's key is stored under the lease; the revision at which it
-was written is the fencing token. The holder stops before its lease can have
+The orderer's key is stored under the lease; the fencing token is made of the
+store's era and the revision at which it was written, so it rises also when the
+store comes back from an older copy. The holder stops before its lease can have
 expired, by a clock that also runs while the machine is suspended.
 """
 
@@ -18,7 +19,7 @@
     WrongServerError,
 )
 from cassiaford.gateway._event_log import EventLog
-from cassiaford.gateway._mirror import MirrorSync
+from cassiaford.gateway._mirror import ERA_SHIFT, MirrorSync
 from cassiaford.gateway._store import (
     Committed,
     Condition,
@@ -76,7 +77,9 @@
         self.sync = sync
         self.log = log
         self.fencing = 0
+        self.key_revision = 0
         self.lease = 0
+        self.lease_era = 0
         self.valid_until = 0.0
         self.key_exists = False
         self.stopping = False
@@ -86,12 +89,16 @@
         self.demand = lambda now: 0.0
         self.on_out_of_use: Callable[[frozenset[int]], None] = lambda keys: None
         self._reported_out_of_use: frozenset[int] = frozenset()
+        self._era = 0
+        self._acquire_from = 0.0
         self._order_tasks: dict[int, asyncio.Task] = {}
         self._now = asyncio.get_running_loop().time
 
     @property
     def holds_lease(self) -> bool:
         """Whether this instance may give orders now."""
+        if self.lease_era != self.store.era:
+            return False
         return self.fencing > 0 and boot_time() < self.valid_until
 
     @property
@@ -108,7 +115,7 @@
         while True:
             if self.fencing:
                 await self._give_orders()
-            elif not self.key_exists and not self.stopping and self._has_work():
+            elif self._may_acquire_lease() and self._has_work():
                 await self._acquire_lease()
             await asyncio.sleep(STEP_INTERVAL_S)
 
@@ -119,7 +126,7 @@
         if not fencing:
             return
         try:
-            await self.store.remove(self.key, fencing)
+            await self.store.remove(self.key, self.key_revision)
         except StoreError as error:
             # The lease expires by itself.
             self.log.write(Event.ORDERS_SUSPENDED, cause=str(error))
@@ -138,6 +145,15 @@
     def _has_work(self):
         return bool(self.rollout.outdated(self._servers()))
 
+    def _may_acquire_lease(self):
+        now = boot_time()
+        if self.store.era != self._era:
+            # A holder of the era before may not have noticed that it ended.
+            if self._era:
+                self._acquire_from = now + LEASE_S
+            self._era = self.store.era
+        return not self.key_exists and not self.stopping and now >= self._acquire_from
+
     async def _acquire_lease(self):
         await asyncio.sleep(self.rng.random() * MAX_ACQUIRE_DELAY_S)
         if self.key_exists:
@@ -158,7 +174,9 @@
             return
         self.key_exists = True
         self.lease = lease
-        self.fencing = result.revision
+        self.lease_era = self.store.era
+        self.key_revision = result.revision
+        self.fencing = (self.lease_era << ERA_SHIFT) + result.revision
         self.valid_until = requested_at + LEASE_S - LEASE_MARGIN_S
         self.rollout.turns.clear()
         self.log.write(Event.ORDERS_RESUMED, fencing=self.fencing)
@@ -167,7 +185,7 @@
         """Give orders while the lease lasts, and renew it concurrently."""
         renewals = asyncio.create_task(self._renew())
         try:
-            while self.fencing and boot_time() < self.valid_until:
+            while self.holds_lease:
                 self._give_due_orders()
                 await asyncio.sleep(STEP_INTERVAL_S)
         finally:
--- a/src/cassiaford/gateway/_peer_codec.py
+++ b/src/cassiaford/gateway/_peer_codec.py
@@ -157,9 +157,10 @@
     )
 
 
-def encode_snapshot(sections: dict[str, Page]) -> bytes:
-    """Return the message of a copy of the store."""
+def encode_snapshot(sections: dict[str, Page], era: int) -> bytes:
+    """Return the message of a copy of the store in one of its eras."""
     message = _schema.Snapshot.new_message(
+        era=era,
         sections=[
             {
                 "prefix": prefix,
@@ -170,21 +171,25 @@
                 ],
             }
             for prefix, page in sections.items()
-        ]
+        ],
     )
     return message.to_bytes_packed()
 
 
-def decode_snapshot(data: bytes) -> dict[str, Page]:
-    """Return a copy of the store, by prefix; raise `PeerMessageError`."""
+def decode_snapshot(data: bytes) -> tuple[dict[str, Page], int]:
+    """Return a copy of the store, by prefix, and its era.
+
+    Raises `PeerMessageError`.
+    """
     try:
         message = _schema.Snapshot.from_bytes_packed(data)
-        return {
+        sections = {
             section.prefix: Page(
                 tuple(Item(i.key, bytes(i.value), i.revision) for i in section.items),
                 section.revision,
             )
             for section in message.sections
         }
+        return sections, message.era
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         raise PeerMessageError(str(error)) from error
--- a/src/cassiaford/gateway/_registration.py
+++ b/src/cassiaford/gateway/_registration.py
@@ -65,6 +65,7 @@
         self.rng = rng
         self.sync = sync
         self.lease = 0
+        self.lease_era = 0
         self.registered = False
         self.withdrawn = False
 
@@ -72,7 +73,7 @@
         """Register the instance, and renew its lease until it withdraws."""
         while not self.withdrawn:
             try:
-                if self.registered:
+                if self.registered and self.lease_era == self.store.era:
                     await self.store.renew_lease(self.lease)
                 else:
                     await self._register()
@@ -104,6 +105,7 @@
 
     async def _register(self):
         self.lease = await self.store.grant_lease(LEASE_S)
+        self.lease_era = self.store.era
         write = Write(self.key, encode_entry(self.state), self.lease)
         await self.store.transact((), (write,))
         self.registered = True
--- a/src/cassiaford/gateway/_store.py
+++ b/src/cassiaford/gateway/_store.py
@@ -88,10 +88,15 @@
 class SharedStore(ABC):
     """The store that outlives every instance.
 
+    `era` rises each time the store comes back without the newest changes that it
+    had acknowledged. Revisions and leases of an earlier era mean nothing then.
+
     Each method is one call. It raises `StoreRefusedError` if nothing took
     effect, and another `StoreError` if it may have taken effect.
     """
 
+    era: int = 0
+
     @abstractmethod
     async def read(self, prefix: str) -> Page:
         """Return all items below a prefix."""
--- a/src/cassiaford/gateway/peers.capnp
+++ b/src/cassiaford/gateway/peers.capnp
@@ -71,4 +71,5 @@
 
 struct Snapshot {
   sections @0 :List(Section);
+  era @1 :UInt64;           # of the store
 }
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -99,6 +99,7 @@
     # 18xx: the key-value service.
     KEY_VALUE_LOST = (1801, Level.WARNING, "key-value service does not respond")
     KEY_VALUE_RECOVERED = (1802, Level.INFO, "key-value service responds again")
+    KEY_VALUE_RESTORED = (1803, Level.WARNING, "key-value service lost changes")
 
     @property
     def number(self) -> int:
--- a/src/cassiaford/platform/_store.py
+++ b/src/cassiaford/platform/_store.py
@@ -39,6 +39,7 @@
     def __init__(self, address: str, client: HttpClient):
         self.address = address
         self.client = client
+        self.era = 0
 
     async def read(self, prefix: str) -> Page:
         """Return all items below a prefix, page by page."""
@@ -135,12 +136,22 @@
     async def _call(self, method, target, body, timeout_s) -> Reply:
         headers = _JSON_HEADERS if body else []
         try:
-            return await self.client.call(
+            reply = await self.client.call(
                 method, self.address, target, timeout_s, headers, body
             )
         except CallFailedError as error:
             kind = StoreError if error.sent else StoreRefusedError
             raise kind(str(error)) from error
+        # An answer that was delayed may be of an earlier era.
+        self.era = max(self.era, _era(reply))
+        return reply
+
+
+def _era(reply):
+    for name, value in reply.headers:
+        if name.lower() == "store-era" and value.isdigit():
+            return int(value)
+    return 0
 
 
 def _check(reply):
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 
-from cassiaford.gateway._own_keys import SUSPECTS_PREFIX
+from cassiaford.gateway._own_keys import OWN_PREFIX, SUSPECTS_PREFIX
 from standins.platform_worker import Behaviour
 from tests.platform_case import PROMPT_HEADERS, PlatformCase, configuration
 
@@ -132,6 +132,25 @@
         await self.assert_refused(restarted)
 
 
+class StoreLossTest(FatalRequestCase):
+    async def test_a_store_that_lost_the_record_gets_it_again(self):
+        await self.start_fragile_workers()
+        gateway = await self.start_gateway()
+        copy = self.store.copy()
+        await self.send_until_refused([gateway])
+        await self.wait_until(self.stored_suspects)
+        await self.wait_until(
+            lambda: any(k.startswith(SUSPECTS_PREFIX) for k in self.mirrored(gateway))
+        )
+        await self.store.restore(copy)
+        await self.wait_until(self.stored_suspects)
+
+    @staticmethod
+    def mirrored(gateway):
+        """Return the gateways' own keys that a gateway has read."""
+        return gateway.mirror.items[OWN_PREFIX]
+
+
 class CutTest(FatalRequestCase):
     async def test_instances_cut_off_from_each_other_share_crashes_by_the_store(self):
         await self.start_fragile_workers(count=8)
