--- a/src/cassiaford/gateway/_crashes.py
+++ b/src/cassiaford/gateway/_crashes.py
@@ -113,13 +113,13 @@
         """Record that a server stopped responding while it ran a request."""
         key = server_key(server)
         if self.evidence.record_break(key, job.fingerprint, self._now()):
-            self._record_crash(key, (job.fingerprint,))
+            self._record_crash(server, (job.fingerprint,))
 
-    def record_server_end(self, key: int) -> None:
+    def record_server_end(self, server: BackendServer) -> None:
         """Record that a server's incarnation has ended without draining."""
-        fingerprints = self.evidence.record_end(key, self._now())
+        fingerprints = self.evidence.record_end(server_key(server), self._now())
         if fingerprints:
-            self._record_crash(key, fingerprints)
+            self._record_crash(server, fingerprints)
 
     def record_completion(self, job: Job) -> None:
         """Clear the suspicion of a request that ran to completion."""
@@ -136,13 +136,13 @@
         self.evidence.expire(self._now())
         self._update_refused()
 
-    def _record_crash(self, key, fingerprints):
+    def _record_crash(self, server, fingerprints):
         now = self._now()
-        crash = server_crash(key)
+        crash = server_crash(server_key(server))
         self.tracker.record_crash(crash, fingerprints, now)
         self.log.write(
             Event.SERVER_CRASH_REPORTED,
-            server_key=key,
+            server=server.server_id,
             requests=len(fingerprints),
             fingerprints=",".join(fingerprints[:MAX_WRITES]),
         )
@@ -232,20 +232,31 @@
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _write(self):
-        fingerprints = list(self._unwritten)[:MAX_WRITES]
-        known = [f for f in fingerprints if f in self.tracker.suspicions]
-        if known:
-            lease = await self.store.grant_lease(STORED_FOR_S)
-            writes = tuple(
-                Write(f"{self.prefix}{f}/{self.instance}", self._encode(f), lease)
-                for f in known
-            )
-            await self.store.transact((), writes)
-        for fingerprint in fingerprints:
-            self._unwritten.pop(fingerprint, None)
+        batch = list(self._unwritten)[:MAX_WRITES]
+        for fingerprint in batch:
+            del self._unwritten[fingerprint]
+        try:
+            await self._write_suspects([f for f in batch if self._is_known(f)])
+        except StoreError:
+            self._unwritten.update(dict.fromkeys(batch))
+            raise
         if not self._unwritten:
             self._has_unwritten.clear()
 
+    async def _write_suspects(self, fingerprints):
+        if not fingerprints:
+            return
+        lease = await self.store.grant_lease(STORED_FOR_S)
+        writes = tuple(
+            Write(f"{self.prefix}{f}/{self.instance}", self._encode(f), lease)
+            for f in fingerprints
+            if self._is_known(f)
+        )
+        await self.store.transact((), writes)
+
+    def _is_known(self, fingerprint):
+        return fingerprint in self.tracker.suspicions
+
     def _encode(self, fingerprint):
         crashes = self.tracker.suspicions[fingerprint].crashes
         return json.dumps(sorted(int(c.incarnation) for c in crashes)).encode()
--- a/src/cassiaford/gateway/_prober.py
+++ b/src/cassiaford/gateway/_prober.py
@@ -61,8 +61,8 @@
 class ServerProber:
     """Detects when a server can be reached again, without using requests.
 
-    The gateway sets `on_refused`, which is called with the key of a server on
-    whose machine no process listens any more.
+    The gateway sets `on_refused`, which is called with a server on whose
+    machine no process listens any more.
     """
 
     def __init__(
@@ -72,7 +72,7 @@
         self.health = health
         self.pool = pool
         self.log = log
-        self.on_refused: Callable[[int], None] = lambda key: None
+        self.on_refused: Callable[[BackendServer], None] = lambda server: None
         self.tasks: dict[int, asyncio.Task] = {}
         self._first_results: dict[int, asyncio.Event] = {}
         self._now = asyncio.get_running_loop().time
@@ -126,7 +126,7 @@
             except ExchangeError as error:
                 self.health.record_unreachable(key, self._now())
                 if error.refused:
-                    self.on_refused(key)
+                    self.on_refused(server)
                 first_result.set()
                 await asyncio.sleep(delay_s)
                 delay_s = min(2 * delay_s, MAX_PROBE_DELAY_S)
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -41,11 +41,11 @@
         self.registry = ServerRegistry()
         self.servers: dict[str, dict[int, BackendServer]] = {}
         self.replaced_keys: set[int] = set()
-        self._serving_keys: set[int] = set()
+        self._serving: dict[int, BackendServer] = {}
         self.named_versions = NamedVersions()
         self.on_versions_changed: Callable[[int], None] = lambda key: None
         self.on_own_key_changed: Callable[[Change], None] = lambda change: None
-        self.on_server_ended: Callable[[int], None] = lambda key: None
+        self.on_server_ended: Callable[[BackendServer], None] = lambda server: None
         self.on_servers_changed: Callable[[], None] = lambda: None
         self.on_configuration_changed: Callable[[], None] = lambda: None
         self.now = asyncio.get_running_loop().time
@@ -77,7 +77,7 @@
             self.replaced_keys.add(key)
             self.log.write(Event.SERVER_REPLACED, server=server.server_id)
             self._index_servers()
-            self.on_server_ended(key)
+            self.on_server_ended(server)
 
     def engines_of(self, model: str) -> dict[int, BackendServer]:
         """Return the engines that have a model, by key."""
@@ -169,20 +169,19 @@
     def _index_servers(self):
         servers = {}
         keys = set()
-        serving_keys = set()
+        serving = {}
         for server in _newest_by_address(self.registry.servers.values()):
             key = server_key(server)
             keys.add(key)
             if not server.draining:
-                serving_keys.add(key)
+                serving[key] = server
             if not server.draining and key not in self.replaced_keys:
                 servers.setdefault(server.service, {})[key] = server
         self.replaced_keys &= keys
         self.servers = servers
-        ended = self._serving_keys - keys
-        self._serving_keys = serving_keys
-        for key in ended:
-            self.on_server_ended(key)
+        previous, self._serving = self._serving, serving
+        for key in previous.keys() - keys:
+            self.on_server_ended(previous[key])
         self.on_servers_changed()
 
 
