--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -144,11 +144,7 @@
 
     def _create_peers(self):
         self.crashes = CrashMonitor(
-            self.state.name,
-            SUSPECTS_PREFIX,
-            self.adapter.store,
-            self.sync,
-            self.log,
+            self.state.name, SUSPECTS_PREFIX, self.adapter.store, self.sync, self.log
         )
         self.view.on_server_ended = self.crashes.record_server_end
         self.peers = PeerReports(
@@ -213,9 +209,10 @@
         """Serve until SIGTERM, then stop gracefully."""
         self.loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         self.loop.add_signal_handler(signal.SIGHUP, self._reload)
-        first, incarnation = self.settings.first_start, self.state.incarnation
         self.log.write(
-            Event.INSTANCE_STARTED, incarnation=incarnation, first_start=first
+            Event.INSTANCE_STARTED,
+            incarnation=self.state.incarnation,
+            first_start=self.settings.first_start,
         )
         await self._listen()
         components = (
--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -201,7 +201,7 @@
     def _enter_era(self):
         """Start the store's era, in which entries may be missing at first."""
         era = self.store.era
-        if era == self.mirror.era:
+        if era <= self.mirror.era:
             return
         if self.mirror.era:
             self.log.write(Event.KEY_VALUE_RESTORED, era=era)
--- a/src/cassiaford/gateway/_orders.py
+++ b/src/cassiaford/gateway/_orders.py
@@ -123,7 +123,7 @@
         """Remove the key, so that another instance can take over immediately."""
         self.stopping = True
         fencing, self.fencing = self.fencing, 0
-        if not fencing:
+        if not fencing or self.lease_era != self.store.era:
             return
         try:
             await self.store.remove(self.key, self.key_revision)
