--- a/src/cassiaford/gateway/_attempt.py
+++ b/src/cassiaford/gateway/_attempt.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import re
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from cassiaford._event_splitter import EventSplitter, EventStreamError
 from cassiaford.gateway._dialect import Dialect
@@ -54,12 +54,20 @@
 class Attempt:
     """Sends a request to one server and validates the response.
 
+    `deadline` is that of the request on the event loop's clock.
     `sent` is whether any byte of the request was written to the connection,
     `has_response` whether a valid response head has arrived, and
     `server_replaced` whether another server responded at the address.
     """
 
-    def __init__(self, dialect: Dialect, pool: ConnectionPool, forwarding: Forwarding):
+    def __init__(
+        self,
+        dialect: Dialect,
+        pool: ConnectionPool,
+        forwarding: Forwarding,
+        deadline: float,
+    ):
+        self.deadline = deadline
         self.dialect = dialect
         self.pool = pool
         self.forwarding = forwarding
@@ -85,7 +93,10 @@
         """
         connect = self.pool.acquire_new if single_run else self.pool.acquire
         self.connection = await connect(self.address)
-        headers = self.dialect.forwarded_headers(request, self.forwarding)
+        # Connecting may have taken a part of the time.
+        time_left_s = self.deadline - asyncio.get_running_loop().time()
+        forwarding = replace(self.forwarding, time_left_s=time_left_s)
+        headers = self.dialect.forwarded_headers(request, forwarding)
         data = request_bytes(request.method, request.target, headers, request.body)
         self.sent = True
         self.connection.start(
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -91,7 +91,10 @@
         job.tried_servers.add(choice.key)
         job.server_id = choice.server.server_id
         attempt = Attempt(
-            self.context.dialect, self.context.pool, self._forwarding(choice)
+            self.context.dialect,
+            self.context.pool,
+            self._forwarding(choice),
+            job.deadline,
         )
         placer = self.context.placer
         placer.record_start(choice, job.metadata, job.customer, self.loop.time())
@@ -259,7 +262,6 @@
         version = choice.server.versions.get(job.metadata.model or "")
         return Forwarding(
             server=choice.server,
-            time_left_s=job.deadline - self.loop.time(),
             customer=customer.name if customer is not None else None,
             cache_scope=_cache_scope(customer, version),
             expected_version=version,
--- a/src/cassiaford/gateway/_messages.py
+++ b/src/cassiaford/gateway/_messages.py
@@ -92,7 +92,7 @@
     """
 
     server: BackendServer
-    time_left_s: float | None
+    time_left_s: float | None = None
     customer: str | None = None
     cache_scope: str | None = None
     urgency: int | None = None
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -181,6 +181,19 @@
         ):
             self.assertIn(line, text)
 
+    async def test_time_spent_on_connecting_is_not_given_to_the_server(self):
+        gateway = await self.start("desk")
+        connect = gateway.adapter.pool.connect
+
+        async def connect_slowly(address, timeout_s=1.0):
+            await asyncio.sleep(0.3)
+            return await connect(address, timeout_s)
+
+        gateway.adapter.pool.connect = connect_slowly
+        await self.call(gateway, "/book/1", X_Deadline_Ms="2000")
+        (call,) = self.workers["i-0"].calls
+        self.assertLessEqual(int(call.headers["x-deadline-ms"]), 2000 - 300)
+
     async def test_a_request_ends_at_its_route_s_timeout(self):
         await self.store.put(
             "op/config",
