--- a/src/cassiaford/gateway/_gauges.py
+++ b/src/cassiaford/gateway/_gauges.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 
+from cassiaford.gateway._own_keys import OWN_PREFIX
+
 
 def gauges(gateway, now: float) -> Iterator[tuple[str, float]]:
     """Yield the names and values of a gateway's gauges."""
@@ -10,6 +12,9 @@
     yield "configuration_version", configuration.version if configuration else 0
     yield "store_reachable", float(sync.reachable)
     yield "store_heard_age_seconds", now - (sync.last_response_at or 0.0)
+    for name, prefix in _sections(gateway).items():
+        age_s = sync.age_s(prefix)
+        yield f"{name}_age_seconds", now if age_s is None else age_s
     yield "peers_live", len(gateway.table.live(now))
     yield "peers_expected", len(gateway.table.expected())
     yield "requests_in_progress", gateway.front.in_progress
@@ -35,10 +40,27 @@
 def state_ages(gateway, now: float) -> dict[str, object]:
     """Return how recent the state behind a decision is, as fields of a log line."""
     last_response_at = gateway.sync.last_response_at
+    records = gateway.adapter.records
     return {
         "store_age_s": (
             None if last_response_at is None else round(now - last_response_at, 3)
         ),
+        "configuration_age_s": _rounded(gateway.sync.age_s(records.operators_prefix)),
+        "servers_age_s": _rounded(gateway.sync.age_s(records.servers_prefix)),
         "peers_live": len(gateway.table.live(now)),
         "peers_expected": len(gateway.table.expected()),
     }
+
+
+def _sections(gateway):
+    """Return the prefix of each section of the store's mirror, by a name."""
+    records = gateway.adapter.records
+    return {
+        "configuration": records.operators_prefix,
+        "servers": records.servers_prefix,
+        "own_keys": OWN_PREFIX,
+    }
+
+
+def _rounded(seconds):
+    return None if seconds is None else round(seconds, 3)
--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -148,9 +148,15 @@
         self.log = log
         self.clock = clock
         self.failing: set[str] = set()
+        self.confirmed_at: dict[str, float] = {}
         self.last_response_at: float | None = None
         self.lost_at: float | None = None
 
+    def age_s(self, prefix: str) -> float | None:
+        """Return the seconds since a section was last confirmed, None if never."""
+        confirmed_at = self.confirmed_at.get(prefix)
+        return None if confirmed_at is None else self.clock() - confirmed_at
+
     @property
     def reachable(self) -> bool:
         """Whether the store has responded to every client's latest call."""
@@ -180,6 +186,7 @@
                 self.record_success(section.prefix)
                 loaded_era = None
             except StoreError as error:
+                self._log_failed_watch(section, error)
                 self.record_failure(section.prefix, error)
                 await asyncio.sleep(delay_s * (0.5 + self.rng.random()))
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
@@ -196,6 +203,7 @@
             return era
         self._enter_era()
         self.mirror.replace(section.prefix, page)
+        self.confirmed_at[section.prefix] = self.clock()
         return self.mirror.era
 
     def _enter_era(self):
@@ -215,9 +223,19 @@
         if self.store.era != self.mirror.era:
             return
         self.mirror.apply(section.prefix, changes)
+        self.confirmed_at[section.prefix] = self.clock()
         if changes.changes:
             await asyncio.sleep(section.batch_window_s)
 
+    def _log_failed_watch(self, section, error):
+        age_s = self.age_s(section.prefix)
+        self.log.write(
+            Event.WATCH_FAILED,
+            section=section.prefix,
+            age_s=None if age_s is None else round(age_s, 3),
+            cause=str(error),
+        )
+
     def record_success(self, client: str) -> None:
         """Record the response to a call of a client of the store."""
         self.last_response_at = self.clock()
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -67,7 +67,9 @@
 
     def expire(self) -> None:
         """Remove the servers that did not register again after an outage."""
-        if self.registry.expire(self.now()):
+        if expired := self.registry.expire(self.now()):
+            for key in expired:
+                self.log.write(Event.SERVER_LEFT, entry=key)
             self._index_servers()
 
     def record_replacement(self, server: BackendServer) -> None:
@@ -128,9 +130,7 @@
 
     def _apply_server(self, change):
         if change.item is None:
-            self.registry.remove(change.key, self.now())
-            if change.key not in self.registry.servers:
-                self.log.write(Event.SERVER_LEFT, entry=change.key)
+            self._remove_server(change.key)
         else:
             try:
                 server = self.decoder.server(change.key, change.item.value)
@@ -150,6 +150,16 @@
                 self._log_server(previous, server)
         self._index_servers()
 
+    def _remove_server(self, key):
+        now = self.now()
+        self.registry.remove(key, now)
+        kept_until = self.registry.missing_until.get(key)
+        if kept_until is None:
+            self.log.write(Event.SERVER_LEFT, entry=key)
+        else:
+            for_s = round(max(0.0, kept_until - now), 3)
+            self.log.write(Event.SERVER_KEPT, entry=key, for_s=for_s)
+
     def _log_loaded(self, server):
         self.log.write(
             Event.LOAD_FINISHED,
--- a/src/cassiaford/gateway/policy/_registry.py
+++ b/src/cassiaford/gateway/policy/_registry.py
@@ -20,7 +20,7 @@
     >>> len(registry.servers)
     1
     >>> registry.expire(now=8.0)
-    True
+    ['servers/a']
     >>> len(registry.servers)
     0
     """
@@ -57,14 +57,14 @@
         else:
             self._drop(key)
 
-    def expire(self, now: float) -> bool:
-        """Remove servers that did not register again; return whether any did not."""
+    def expire(self, now: float) -> list[str]:
+        """Remove the servers that did not register again; return their keys."""
         if self.store_unreachable:
-            return False
+            return []
         expired = [key for key, until in self.missing_until.items() if now >= until]
         for key in expired:
             self._drop(key)
-        return bool(expired)
+        return expired
 
     def _drop(self, key):
         self.servers.pop(key, None)
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -63,6 +63,7 @@
     SERVER_CHANGED = (1322, Level.INFO, "backend server's entry changed")
     SERVER_REPLACED = (1324, Level.INFO, "another backend server at this address")
     SERVER_LEFT = (1323, Level.INFO, "backend server's entry removed")
+    SERVER_KEPT = (1325, Level.INFO, "backend server kept without its entry")
 
     # 14xx: peers and membership.
     MEMBER_JOINED = (1401, Level.INFO, "instance is live")
@@ -100,6 +101,7 @@
     KEY_VALUE_LOST = (1801, Level.WARNING, "key-value service does not respond")
     KEY_VALUE_RECOVERED = (1802, Level.INFO, "key-value service responds again")
     KEY_VALUE_RESTORED = (1803, Level.WARNING, "key-value service lost changes")
+    WATCH_FAILED = (1804, Level.INFO, "watch of key-value service failed")
 
     @property
     def number(self) -> int:
