--- /dev/null
+++ b/tests/fakes_shared_store.py
@@ -0,0 +1,144 @@
+"""A shared store in memory whose calls fail as those over a network do.
+
+It answers in virtual time. Each client has a connection of its own: one that was
+open at `cut_connections` never carries anything again, while new ones work.
+"""
+
+import asyncio
+
+from cassiaford.gateway import (
+    Change,
+    Changes,
+    HistoryLostError,
+    Item,
+    Page,
+    StoreRefusedError,
+)
+
+
+class FakeSharedStore:
+    """The keys, revisions, history and faults of one store."""
+
+    def __init__(self, latency_s=0.004):
+        self.latency_s = latency_s
+        self.items: dict[str, Item] = {}
+        self.history: list[Change] = []
+        self.revision = 100
+        self.compacted = 100
+        self.era = 1
+        self.refusing = False
+        self.silent = False
+        self.cut = asyncio.Event()
+        self._changed = asyncio.Event()
+
+    def put(self, key, value=b""):
+        """Write a key."""
+        self.revision += 1
+        self.items[key] = Item(key, value, self.revision)
+        self._record(Change(key, self.revision, self.items[key]))
+
+    def remove(self, key):
+        """Remove a key."""
+        self.revision += 1
+        if self.items.pop(key, None) is not None:
+            self._record(Change(key, self.revision, None))
+
+    def compact(self):
+        """Forget the history; watches from before get `HistoryLostError`."""
+        self.history.clear()
+        self.compacted = self.revision
+        self._wake()
+
+    def copy(self):
+        """Return the data to which `restore` can go back."""
+        return dict(self.items), self.revision
+
+    def restore(self, copy):
+        """Come back from a copy in a new era, with revisions given out again."""
+        items, self.revision = copy
+        self.items = dict(items)
+        self.history = [c for c in self.history if c.revision <= self.revision]
+        self.era += 1
+        self._wake()
+
+    def cut_connections(self):
+        """Silence the connections that are open now."""
+        cut, self.cut = self.cut, asyncio.Event()
+        cut.set()
+
+    def client(self):
+        """Return a new instance's client."""
+        return FakeStoreClient(self)
+
+    async def wait_for_change(self):
+        """Wait until something has changed."""
+        await self._changed.wait()
+
+    def _record(self, change):
+        self.history.append(change)
+        self._wake()
+
+    def _wake(self):
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+
+class FakeStoreClient:
+    """One instance's client: only the calls that a mirror makes."""
+
+    def __init__(self, store):
+        self.store = store
+        self.era = 0
+        self.calls = 0
+
+    async def read(self, prefix):
+        """Return all items below a prefix."""
+        return await self._call(self._page, prefix)
+
+    async def watch(self, prefix, after, wait_s):
+        """Return the changes after a revision, waiting for the first one."""
+        return await self._call(self._changes, prefix, after, wait_s)
+
+    async def renew(self):
+        """Make a call without a result, as for the renewal of a lease."""
+        await self._call(self._nothing)
+
+    async def _call(self, respond, *arguments):
+        store, cut = self.store, self.store.cut
+        self.calls += 1
+        await asyncio.sleep(store.latency_s)
+        if store.refusing:
+            raise StoreRefusedError("refused")
+        response = await respond(*arguments)
+        await asyncio.sleep(store.latency_s)
+        if cut.is_set() or store.silent:
+            await asyncio.get_running_loop().create_future()
+        self.era = max(self.era, store.era)
+        return response
+
+    async def _page(self, prefix):
+        items = (i for key, i in self.store.items.items() if key.startswith(prefix))
+        return Page(tuple(items), self.store.revision)
+
+    async def _changes(self, prefix, after, wait_s):
+        deadline = asyncio.get_running_loop().time() + wait_s
+        store = self.store
+        while not (changes := self._matching(prefix, after)):
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await store.wait_for_change()
+            except TimeoutError:
+                break
+        return Changes(tuple(changes), store.revision)
+
+    async def _nothing(self):
+        return None
+
+    def _matching(self, prefix, after):
+        if not self.store.compacted <= after <= self.store.revision:
+            raise HistoryLostError("the history is gone")
+        return [
+            change
+            for change in self.store.history
+            if change.revision > after and change.key.startswith(prefix)
+        ]
