--- a/src/cassiaford/gateway/_crashes.py
+++ b/src/cassiaford/gateway/_crashes.py
@@ -224,11 +224,12 @@
         """Write the requests present at several crashes until cancelled."""
         while True:
             await self._has_unwritten.wait()
+            started_at = self.sync.clock()
             try:
                 await self._write()
                 self.sync.record_success(STORE_CLIENT)
             except StoreError as error:
-                self.sync.record_failure(STORE_CLIENT, error)
+                self.sync.record_failure(STORE_CLIENT, error, started_at)
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _write(self):
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -337,7 +337,7 @@
 
     def _expire_state(self):
         now = self.loop.time()
-        self.view.expire()
+        self.view.expire(self.sync.last_response_at or 0.0)
         self.crashes.update()
         self.engines.prefix_locations.expire(now)
         self.adapter.pool.close_expired()
--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -40,11 +40,11 @@
 
     @abstractmethod
     def on_store_lost(self) -> None:
-        """Process the first failure of a call after the store was reachable."""
+        """Process the start of an outage in which entries may lapse."""
 
     @abstractmethod
     def on_store_recovered(self) -> None:
-        """Process the end of a client's failure; called for each failed client."""
+        """Process the first response after an outage, or after a change of era."""
 
 
 @dataclass(frozen=True)
@@ -132,6 +132,8 @@
 
     It also tracks for all clients of the store whether it is `reachable`: this
     is false from the first failed call until each failed client has a response.
+    An outage ends with the first response to any client, since a watch may wait
+    for long before it has one.
     """
 
     def __init__(
@@ -151,6 +153,7 @@
         self.confirmed_at: dict[str, float] = {}
         self.last_response_at: float | None = None
         self.lost_at: float | None = None
+        self.in_outage = False
 
     def age_s(self, prefix: str) -> float | None:
         """Return the seconds since a section was last confirmed, None if never."""
@@ -176,6 +179,7 @@
         delay_s = FIRST_RETRY_DELAY_S
         loaded_era = None
         while True:
+            started_at = self.clock()
             try:
                 if loaded_era == self.store.era:
                     await self._watch(section)
@@ -187,7 +191,7 @@
                 loaded_era = None
             except StoreError as error:
                 self._log_failed_watch(section, error)
-                self.record_failure(section.prefix, error)
+                self.record_failure(section.prefix, error, started_at)
                 await asyncio.sleep(delay_s * (0.5 + self.rng.random()))
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
 
@@ -239,6 +243,9 @@
     def record_success(self, client: str) -> None:
         """Record the response to a call of a client of the store."""
         self.last_response_at = self.clock()
+        if self.in_outage:
+            self.in_outage = False
+            self.mirror.listener.on_store_recovered()
         self.clear_failure(client)
 
     def clear_failure(self, client: str) -> None:
@@ -246,19 +253,22 @@
         if client not in self.failing:
             return
         self.failing.discard(client)
-        self.mirror.listener.on_store_recovered()
         if not self.failing:
             away_s = round(self.clock() - self.lost_at, 3)
             self.log.write(Event.KEY_VALUE_RECOVERED, away_s=away_s)
 
-    def record_failure(self, client: str, error: StoreError) -> None:
-        """Record the failure of a client's call.
+    def record_failure(self, client: str, error: StoreError, started_at: float) -> None:
+        """Record the failure of a client's call that started at a time.
 
-        A watch may wait through an outage without an error, so only the other
-        calls reveal it.
+        If another client got a response since then, only a connection was lost.
         """
         if not self.failing:
             self.lost_at = self.clock()
             self.log.write(Event.KEY_VALUE_LOST, caller=client, cause=str(error))
-            self.mirror.listener.on_store_lost()
         self.failing.add(client)
+        if not self.in_outage and not self._has_responded_since(started_at):
+            self.in_outage = True
+            self.mirror.listener.on_store_lost()
+
+    def _has_responded_since(self, moment):
+        return self.last_response_at is not None and self.last_response_at > moment
--- a/src/cassiaford/gateway/_orders.py
+++ b/src/cassiaford/gateway/_orders.py
@@ -204,13 +204,14 @@
         while self.fencing:
             await asyncio.sleep(RENEWAL_INTERVAL_S)
             requested_at = boot_time()
+            started_at = self.sync.clock()
             try:
                 await self.store.renew_lease(self.lease)
             except LeaseEndedError:
                 self.valid_until = 0.0
                 return
             except StoreError as error:
-                self.sync.record_failure(STORE_CLIENT, error)
+                self.sync.record_failure(STORE_CLIENT, error, started_at)
                 continue
             self.sync.record_success(STORE_CLIENT)
             self.valid_until = requested_at + LEASE_S - LEASE_MARGIN_S
--- a/src/cassiaford/gateway/_registration.py
+++ b/src/cassiaford/gateway/_registration.py
@@ -72,6 +72,7 @@
     async def run(self) -> None:
         """Register the instance, and renew its lease until it withdraws."""
         while not self.withdrawn:
+            started_at = self.sync.clock()
             try:
                 if self.registered and self.lease_era == self.store.era:
                     await self.store.renew_lease(self.lease)
@@ -83,7 +84,7 @@
                 continue
             except StoreError as error:
                 # An entry that has lapsed is written again in the next round.
-                self.sync.record_failure(STORE_CLIENT, error)
+                self.sync.record_failure(STORE_CLIENT, error, started_at)
             await asyncio.sleep(RENEWAL_INTERVAL_S * (0.8 + 0.4 * self.rng.random()))
 
     def on_entry_removed(self) -> None:
@@ -97,11 +98,12 @@
         if not self.registered:
             return
         self.registered = False
+        started_at = self.sync.clock()
         try:
             await self.store.end_lease(self.lease)
         except StoreError as error:
             # The lease expires by itself.
-            self.sync.record_failure(STORE_CLIENT, error)
+            self.sync.record_failure(STORE_CLIENT, error, started_at)
 
     async def _register(self):
         self.lease = await self.store.grant_lease(LEASE_S)
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -65,9 +65,12 @@
         """Wait for the entries that lapsed during an outage."""
         self.registry.record_store_recovery(self.now())
 
-    def expire(self) -> None:
-        """Remove the servers that did not register again after an outage."""
-        if expired := self.registry.expire(self.now()):
+    def expire(self, responded_at: float) -> None:
+        """Remove the servers that did not register again after an outage.
+
+        `responded_at` is the time of the store's latest response.
+        """
+        if expired := self.registry.expire(responded_at):
             for key in expired:
                 self.log.write(Event.SERVER_LEFT, entry=key)
             self._index_servers()
--- a/src/cassiaford/gateway/policy/_registry.py
+++ b/src/cassiaford/gateway/policy/_registry.py
@@ -19,7 +19,7 @@
     >>> registry.remove("servers/a", now=5.1)
     >>> len(registry.servers)
     1
-    >>> registry.expire(now=8.0)
+    >>> registry.expire(responded_at=8.0)
     ['servers/a']
     >>> len(registry.servers)
     0
@@ -57,11 +57,17 @@
         else:
             self._drop(key)
 
-    def expire(self, now: float) -> list[str]:
-        """Remove the servers that did not register again; return their keys."""
+    def expire(self, responded_at: float) -> list[str]:
+        """Remove the servers that did not register again; return their keys.
+
+        `responded_at` is the time of the store's latest response, so that none is
+        removed in the next outage before it is noticed.
+        """
         if self.store_unreachable:
             return []
-        expired = [key for key, until in self.missing_until.items() if now >= until]
+        expired = [
+            k for k, until in self.missing_until.items() if responded_at >= until
+        ]
         for key in expired:
             self._drop(key)
         return expired
