--- a/bench/_stream_gateway.py
+++ b/bench/_stream_gateway.py
@@ -89,6 +89,7 @@
         store_address="",
         retry_limits=RetryLimits(0.2, 50, 10),
         rate_window_s=8.0,
+        changes_within_s=2.0,
         weights_within_s=6.0,
         drain_s=1.0,
         directory_ttl_s=1.0,
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -48,6 +48,9 @@
 
 # Short batch window: reloaded engines stay out of use until their entries are seen.
 SERVER_BATCH_WINDOW_S = 0.12
+# Peers report most of what is below the instances' own keys; the rest is for those
+# cut off from them, and for a vacant orderer's lease.
+OWN_KEYS_MAX_LAG_S = 3.0
 # Interval between checks for expired state.
 HOUSEKEEPING_INTERVAL_S = 0.2
 METRICS_TARGET = "/metrics"
@@ -113,10 +116,11 @@
 
     def _create_store_clients(self):
         records = self.adapter.records
+        max_lag_s = self.settings.changes_within_s
         sections = (
-            Section(records.operators_prefix),
-            Section(records.servers_prefix, SERVER_BATCH_WINDOW_S),
-            Section(OWN_PREFIX),
+            Section(records.operators_prefix, max_lag_s=max_lag_s),
+            Section(records.servers_prefix, SERVER_BATCH_WINDOW_S, max_lag_s),
+            Section(OWN_PREFIX, max_lag_s=OWN_KEYS_MAX_LAG_S),
         )
         self.mirror = Mirror(sections, self.view)
         self.sync = MirrorSync(self.mirror, self.adapter.store, self.rng, self.log)
--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -19,9 +19,14 @@
 )
 from cassiaford.logs import Event
 
-# A watch without changes returns after this time. The kernel's keep-alive
-# probes detect a silent connection sooner.
-WATCH_TIMEOUT_S = 20.0
+# A watch whose connection has gone silent looks like one without changes, and the
+# kernel's keep-alive probes may still be answered. So a watch waits for a fraction
+# of a section's longest lag, and is abandoned after another one; the rest is for
+# the read that follows.
+WATCH_WAIT_FRACTION = 0.55
+WATCH_TIMEOUT_FRACTION = 0.8
+# The default of the time after which a change must be known.
+MAX_LAG_S = 2.0
 # Delay after a change, so that the changes that follow are fetched together.
 BATCH_WINDOW_S = 0.25
 # Leaves the lower bits of a number to revisions.
@@ -49,10 +54,15 @@
 
 @dataclass(frozen=True)
 class Section:
-    """The keys below a prefix; their changes are batched for a time."""
+    """The keys below a prefix; their changes are batched for a time.
+
+    A change is known after `max_lag_s` also if the watch that waited for it got no
+    response, provided that the store responds to the next one.
+    """
 
     prefix: str
     batch_window_s: float = BATCH_WINDOW_S
+    max_lag_s: float = MAX_LAG_S
 
 
 class Mirror:
@@ -222,7 +232,14 @@
 
     async def _watch(self, section):
         after = self.mirror.revisions[section.prefix]
-        changes = await self.store.watch(section.prefix, after, WATCH_TIMEOUT_S)
+        wait_s = WATCH_WAIT_FRACTION * section.max_lag_s
+        timeout_s = WATCH_TIMEOUT_FRACTION * section.max_lag_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                changes = await self.store.watch(section.prefix, after, wait_s)
+        except TimeoutError as error:
+            detail = f"a watch has not returned within {timeout_s:g} s"
+            raise StoreError(detail) from error
         self.record_success(section.prefix)
         if self.store.era != self.mirror.era:
             return
--- a/src/cassiaford/gateway/_settings.py
+++ b/src/cassiaford/gateway/_settings.py
@@ -33,12 +33,14 @@
 class GatewaySettings:
     """The settings that a gateway is started with.
 
-    `rate_window_s` is the window in which a customer may spend its burst in
-    addition to its rate. `weights_within_s` is the time within which every
-    engine must have newly named weights. `drain_s` is the time from a planned
-    stop to the end of the process. `directory_ttl_s` is how long callers may
-    cache a response of the directory. `first_start` is whether the whole fleet
-    starts for the first time, so that nothing was spent before.
+    `changes_within_s` is the time within which a change of the configuration or
+    of a backend server's entry must be in force. `rate_window_s` is the window
+    in which a customer may spend its burst in addition to its rate.
+    `weights_within_s` is the time within which every engine must have newly
+    named weights. `drain_s` is the time from a planned stop to the end of the
+    process. `directory_ttl_s` is how long callers may cache a response of the
+    directory. `first_start` is whether the whole fleet starts for the first
+    time, so that nothing was spent before.
     """
 
     instance: str
@@ -46,6 +48,7 @@
     addresses: GatewayAddresses
     store_address: str
     retry_limits: RetryLimits
+    changes_within_s: float
     rate_window_s: float
     weights_within_s: float
     drain_s: float
--- a/src/cassiaford/platform/_settings.py
+++ b/src/cassiaford/platform/_settings.py
@@ -18,6 +18,7 @@
 # The deploy file names this port too.
 METRICS_PORT = 9464
 # Defaults of the platform's documentation for bounds that the file does not set.
+_DEFAULT_CHANGES_WITHIN_MS = 2000
 _DEFAULT_WEIGHTS_WITHIN_MS = 6000
 _DEFAULT_GRACE_S = 8
 _DEFAULT_RATE_WINDOW_S = 8
@@ -47,6 +48,7 @@
             slack=number(bounds, "BudgetSlack", 0),
             window_s=number(bounds, "BudgetWindowS", 10),
         ),
+        changes_within_s=_changes_within_s(bounds),
         rate_window_s=number(bounds, "QuotaWindowS", _DEFAULT_RATE_WINDOW_S),
         weights_within_s=number(bounds, "VersionMs", _DEFAULT_WEIGHTS_WITHIN_MS) / 1000,
         drain_s=number(bounds, "GraceS", _DEFAULT_GRACE_S),
@@ -55,6 +57,12 @@
     )
 
 
+def _changes_within_s(bounds):
+    """Return the shorter of the bounds on configurations and on leaving servers."""
+    names = ("ConfigApplyMs", "DrainMs")
+    return min(number(bounds, n, _DEFAULT_CHANGES_WITHIN_MS) for n in names) / 1000
+
+
 def _object(document, name):
     value = document.get(name)
     if not isinstance(value, dict):
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -143,6 +143,7 @@
             addresses=GatewayAddresses(*(self.reserve_address() for _ in range(5))),
             store_address=self.store.address,
             retry_limits=RetryLimits(ratio=0.2, slack=50, window_s=10),
+            changes_within_s=2.0,
             rate_window_s=8.0,
             weights_within_s=6.0,
             drain_s=fields.pop("drain_s", 4.0),
