--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -73,13 +73,16 @@
         self.listener = listener
         self.items: dict[str, dict[str, Item]] = {s.prefix: {} for s in sections}
         self.revisions: dict[str, int] = {s.prefix: 0 for s in sections}
+        self.eras: dict[str, int] = {s.prefix: 0 for s in sections}
         self.era = 0
 
-    def replace(self, prefix: str, page: Page) -> None:
-        """Replace all items of a section by those of a revision.
+    def replace(self, prefix: str, page: Page, era: int) -> None:
+        """Replace all items of a section, unless it is newer by era and revision.
 
-        In another era of the store, a revision may be lower than before.
+        A page that was read from the store may arrive after a peer's newer copy.
         """
+        if (era, page.revision) < self._position(prefix):
+            return
         items = self.items[prefix]
         for key in set(items) - {item.key for item in page.items}:
             del items[key]
@@ -87,16 +90,25 @@
         for item in page.items:
             if items.get(item.key) != item:
                 self._put(prefix, item)
+        self.eras[prefix] = era
         self.revisions[prefix] = page.revision
 
     def apply(self, prefix: str, changes: Changes) -> None:
-        """Apply the changes of a section up to a revision."""
+        """Apply the changes of a section up to a revision.
+
+        Changes that the section has already, from a peer's copy or from pages
+        that were read later than the first, are skipped.
+        """
+        items = self.items[prefix]
         for change in changes.changes:
+            previous = items.get(change.key)
+            known = previous.revision if previous else self.revisions[prefix]
+            if change.revision <= known:
+                continue
             if change.item is not None:
-                previous = self.items[prefix].get(change.key)
-                if previous is None or previous.revision < change.revision:
-                    self._put(prefix, change.item)
-            elif self.items[prefix].pop(change.key, None) is not None:
+                self._put(prefix, change.item)
+            elif previous is not None:
+                del items[change.key]
                 self.listener.on_change(change)
         self.revisions[prefix] = max(changes.revision, self.revisions[prefix])
 
@@ -108,18 +120,19 @@
             prefix: page
             for prefix, page in snapshot.items()
             if prefix in self.revisions
-            and (era > self.era or page.revision > self.revisions[prefix])
+            and (era, page.revision) > self._position(prefix)
         }
         self.era = era
         for prefix, page in newer.items():
-            self.replace(prefix, page)
+            self.replace(prefix, page, era)
         return bool(newer)
 
     def snapshot(self) -> dict[str, Page]:
-        """Return all sections."""
+        """Return all sections that were read in the current era."""
         return {
             prefix: Page(tuple(items.values()), self.revisions[prefix])
             for prefix, items in self.items.items()
+            if self.eras[prefix] == self.era
         }
 
     @property
@@ -129,8 +142,12 @@
 
     @property
     def complete(self) -> bool:
-        """Whether every section has been read at least once."""
-        return all(self.revisions.values())
+        """Whether every section has been read in the current era."""
+        current = set(self.eras.values()) == {self.era}
+        return current and all(self.revisions.values())
+
+    def _position(self, prefix):
+        return self.eras[prefix], self.revisions[prefix]
 
     def _put(self, prefix, item):
         self.items[prefix][item.key] = item
@@ -216,7 +233,7 @@
             # Pages of two eras do not fit together.
             return era
         self._enter_era()
-        self.mirror.replace(section.prefix, page)
+        self.mirror.replace(section.prefix, page, self.mirror.era)
         self.confirmed_at[section.prefix] = self.clock()
         return self.mirror.era
 
