--- a/src/cassiaford/gateway/_attempt.py
+++ b/src/cassiaford/gateway/_attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from cassiaford._event_splitter import EventSplitter, EventStreamError
@@ -83,16 +84,24 @@
         return self.forwarding.server.address
 
     async def send(
-        self, request: HttpRequest, attempt_id: str, *, single_run: bool
+        self,
+        request: HttpRequest,
+        attempt_id: str,
+        *,
+        single_run: bool,
+        is_serving: Callable[[], bool],
     ) -> ServerResponse:
         """Send the request and return the response with its validated head.
 
         With `single_run`, which stands for a request that may not run again, the
-        connection is a new one. Raises `ExchangeError` if there is no response
-        to relay.
+        connection is a new one. `is_serving` returns whether the server still
+        takes requests once there is a connection. Raises `ExchangeError` if there
+        is no response to relay.
         """
         connect = self.pool.acquire_new if single_run else self.pool.acquire
         self.connection = await connect(self.address)
+        if not is_serving():
+            raise ExchangeError(Failure.SERVER_LEFT)
         # Connecting may have taken a part of the time.
         time_left_s = self.deadline - asyncio.get_running_loop().time()
         forwarding = replace(self.forwarding, time_left_s=time_left_s)
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -113,7 +113,10 @@
         """Return the response's head, or None if a server error is to be retried."""
         job = self.job
         send = attempt.send(
-            job.request, job.metadata.attempt_id, single_run=not job.has_more_runs
+            job.request,
+            job.metadata.attempt_id,
+            single_run=not job.has_more_runs,
+            is_serving=lambda: self.context.view.is_serving(job.service, choice.key),
         )
         try:
             async with asyncio.timeout(self._response_timeout_s()):
@@ -230,6 +233,8 @@
             self.context.view.record_replacement(choice.server)
         if error.failure is Failure.NOT_STARTED:
             self.context.placer.record_rejection(choice, job.metadata, now)
+        elif error.failure is Failure.SERVER_LEFT:
+            return _AttemptOutcome.RETRY
         elif not attempt.sent:
             self.context.prober.record_unreachable(choice.server)
         else:
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -84,6 +84,10 @@
             self._index_servers()
             self.on_server_ended(server)
 
+    def is_serving(self, service: str, key: int) -> bool:
+        """Return whether a server takes requests for a service."""
+        return key in self.servers.get(service, {})
+
     def engines_of(self, model: str) -> dict[int, BackendServer]:
         """Return the engines that have a model, by key."""
         return {
--- a/src/cassiaford/verdict/_failure.py
+++ b/src/cassiaford/verdict/_failure.py
@@ -18,6 +18,11 @@
         Verdict.NOT_RUN,
         RefusalReason.RETRIES_EXHAUSTED,
     )
+    SERVER_LEFT = (
+        "the backend server left before the request was sent",
+        Verdict.NOT_RUN,
+        RefusalReason.RETRIES_EXHAUSTED,
+    )
     UNSENDABLE = (
         "the request cannot be written as HTTP",
         Verdict.NOT_RUN,
