--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -50,7 +50,7 @@
 SERVER_BATCH_WINDOW_S = 0.12
 # Peers report most of what is below the instances' own keys; the rest is for those
 # cut off from them, and for a vacant orderer's lease.
-OWN_KEYS_MAX_LAG_S = 3.0
+OWN_KEYS_MAX_LAG_S = 4.0
 # Interval between checks for expired state.
 HOUSEKEEPING_INTERVAL_S = 0.2
 METRICS_TARGET = "/metrics"
--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -23,8 +23,8 @@
 # kernel's keep-alive probes may still be answered. So a watch waits for a fraction
 # of a section's longest lag, and is abandoned after another one; the rest is for
 # the read that follows.
-WATCH_WAIT_FRACTION = 0.55
-WATCH_TIMEOUT_FRACTION = 0.8
+WATCH_WAIT_FRACTION = 0.7
+WATCH_TIMEOUT_FRACTION = 0.9
 # The default of the time after which a change must be known.
 MAX_LAG_S = 2.0
 # Delay after a change, so that the changes that follow are fetched together.
@@ -219,7 +219,10 @@
             except StoreError as error:
                 self._log_failed_watch(section, error)
                 self.record_failure(section.prefix, error, started_at)
-                await asyncio.sleep(delay_s * (0.5 + self.rng.random()))
+                # A call that waited long before it failed is repeated at once.
+                rest_s = delay_s - (self.clock() - started_at)
+                rest_s = max(rest_s, FIRST_RETRY_DELAY_S)
+                await asyncio.sleep(rest_s * (0.5 + self.rng.random()))
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
 
     async def _load(self, section):
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -70,7 +70,7 @@
 
         `responded_at` is the time of the store's latest response.
         """
-        if expired := self.registry.expire(responded_at):
+        if expired := self.registry.expire(self.now(), responded_at):
             for key in expired:
                 self.log.write(Event.SERVER_LEFT, entry=key)
             self._index_servers()
--- a/src/cassiaford/gateway/policy/_registry.py
+++ b/src/cassiaford/gateway/policy/_registry.py
@@ -5,6 +5,9 @@
 # Live servers whose entries lapsed in an outage register again within two
 # seconds of the store's recovery. Servers still missing after this are gone.
 REREGISTRATION_TIMEOUT_S = 2.2
+# The store must have responded this shortly before a missing server is dropped, since
+# another outage, in which it cannot register, is noticed only after a while.
+CONFIRMATION_S = 1.0
 
 
 class ServerRegistry:
@@ -19,7 +22,7 @@
     >>> registry.remove("servers/a", now=5.1)
     >>> len(registry.servers)
     1
-    >>> registry.expire(responded_at=8.0)
+    >>> registry.expire(now=8.0, responded_at=8.0)
     ['servers/a']
     >>> len(registry.servers)
     0
@@ -57,16 +60,17 @@
         else:
             self._drop(key)
 
-    def expire(self, responded_at: float) -> list[str]:
+    def expire(self, now: float, responded_at: float) -> list[str]:
         """Remove the servers that did not register again; return their keys.
 
-        `responded_at` is the time of the store's latest response, so that none is
-        removed in the next outage before it is noticed.
+        `responded_at` is the time of the store's latest response.
         """
         if self.store_unreachable:
             return []
         expired = [
-            k for k, until in self.missing_until.items() if responded_at >= until
+            key
+            for key, until in self.missing_until.items()
+            if now >= until and responded_at >= until - CONFIRMATION_S
         ]
         for key in expired:
             self._drop(key)
--- a/tests/test_stale_copies.py
+++ b/tests/test_stale_copies.py
@@ -12,7 +12,7 @@
 from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import FleetRates
 from cassiaford.platform._records import PlatformRecordDecoder
-from tests.fakes_shared_store import FakeSharedStore
+from tests.fakes_shared_store import LATENCY_S, FakeSharedStore
 from tests.platform_case import PlatformCase, configuration
 from tests.virtual_time import run_in_virtual_time
 
@@ -281,7 +281,9 @@
                         instance.mirror.apply_newer(*rng.choice(copies[-3:]))
                     self.assertGreaterEqual(instance.version, newest)
                     newest = instance.version
+                # The bounds hold once nothing disturbs the store, slowness included.
                 store.refusing = store.silent = False
+                store.latency_s = LATENCY_S
                 store.cut_connections()
                 put_configuration(store, version := version + 1)
                 leaving, joining = f"i-{round_number}", f"i-{round_number + 1}"
