--- a/src/cassiaford/gateway/_crashes.py
+++ b/src/cassiaford/gateway/_crashes.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from dataclasses import replace
 
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._job import Job
@@ -16,12 +17,15 @@
 from cassiaford.gateway._peer_codec import server_crash
 from cassiaford.gateway._store import Change, SharedStore, StoreError, Write
 from cassiaford.gateway._view import server_key
-from cassiaford.gateway.policy import CrashEvidence
+from cassiaford.gateway.policy import BrokenRequest, CrashEvidence
 from cassiaford.logs import Event
 from cassiaford.suspects import (
-    ClearedFingerprint,
+    AnsweredParts,
     CrashReport,
+    RefusedParts,
     SuspectTracker,
+    Suspicions,
+    distinct_parts,
 )
 from cassiaford.verdict import Refusal, RefusalReason
 
@@ -38,8 +42,14 @@
 REPEAT_FOR_S = 5.0
 # Keep a report within one datagram.
 MAX_REPORTED = 64
+MAX_REPORTED_PARTS = 64
+MAX_REPORTED_GROUPS = 8
 MAX_WRITES = 16
 RETRY_INTERVAL_S = 1.0
+# An answer that has gone on for this long is not what crashed its server.
+MIN_ANSWER_S = 0.5
+# The names of groups of parts in the store begin so, those of requests do not.
+PARTS_NAME = "parts-"
 # Identifies these calls in the tracking of the store's reachability.
 STORE_CLIENT = "suspects"
 
@@ -68,16 +78,17 @@
         self.evidence = CrashEvidence()
         self.on_crash: Callable[[], None] = lambda: None
         self.refused: set[str] = set()
-        self._recent: list[tuple[float, CrashReport | ClearedFingerprint]] = []
-        self._unreported: list[CrashReport | ClearedFingerprint] = []
+        self.refused_groups: set[frozenset[int]] = set()
+        self._recent: list[tuple[float, Suspicions]] = []
+        self._unreported: list[Suspicions] = []
         self._unwritten: dict[str, None] = {}
         self._has_unwritten = asyncio.Event()
         self._now = asyncio.get_running_loop().time
 
     @property
     def refused_count(self) -> int:
-        """The number of requests that are refused."""
-        return len(self.refused)
+        """The number of requests and of groups of parts that are refused."""
+        return len(self.refused) + len(self.refused_groups)
 
     # Decisions on requests.
 
@@ -92,40 +103,48 @@
         )
 
     def is_refused(self, job: Job) -> bool:
-        """Return whether a request has crashed too many servers."""
-        return self._has_suspects and self.tracker.is_refused(
+        """Return whether a request, or parts of it, crashed too many servers."""
+        tracker = self.tracker
+        if tracker.parts.groups and tracker.parts.is_refused(job.part_fingerprints):
+            return True
+        return bool(tracker.suspicions) and tracker.is_refused(
             job.fingerprint, self._now()
         )
 
     def is_suspect(self, job: Job) -> bool:
-        """Return whether a request was running at a crash."""
-        return self._has_suspects and self.tracker.is_suspect(
+        """Return whether a request, or a part of it, was running at a crash."""
+        tracker = self.tracker
+        if not tracker.parts.crashes.keys().isdisjoint(job.part_fingerprints):
+            return True
+        return bool(tracker.suspicions) and tracker.is_suspect(
             job.fingerprint, self._now()
         )
 
-    @property
-    def _has_suspects(self):
-        return bool(self.tracker.suspicions)
-
     # Observations of this instance.
 
     def record_break(self, job: Job, server: BackendServer) -> None:
         """Record that a server stopped responding while it ran a request."""
-        key = server_key(server)
-        if self.evidence.record_break(key, job.fingerprint, self._now()):
-            self._record_crash(server, (job.fingerprint,))
+        now = self._now()
+        parts = () if _is_answering(job, now) else job.part_fingerprints
+        request = BrokenRequest(job.fingerprint, parts)
+        if self.evidence.record_break(server_key(server), request, now):
+            self._record_crash(server, (request,))
 
     def record_server_end(self, server: BackendServer) -> None:
         """Record that a server's incarnation has ended without draining."""
-        fingerprints = self.evidence.record_end(server_key(server), self._now())
-        if fingerprints:
-            self._record_crash(server, fingerprints)
+        requests = self.evidence.record_end(server_key(server), self._now())
+        if requests:
+            self._record_crash(server, requests)
 
     def record_completion(self, job: Job) -> None:
-        """Clear the suspicion of a request that ran to completion."""
+        """Clear the suspicion of a request that ran to completion, and of its parts."""
         if self.evidence.breaks:
             self.evidence.remove_request(job.fingerprint)
-        if not self._has_suspects:
+        if job.status < 300:
+            answered = self.tracker.parts.record_answer(job.part_fingerprints)
+            if answered:
+                self._unreported.append(AnsweredParts(answered))
+        if not self.tracker.suspicions:
             return
         cleared = self.tracker.record_completion(job.fingerprint, self._now())
         if cleared is not None:
@@ -136,29 +155,50 @@
         self.evidence.expire(self._now())
         self._update_refused()
 
-    def _record_crash(self, server, fingerprints):
+    def _record_crash(self, server, requests):
         now = self._now()
         crash = server_crash(server_key(server))
-        self.tracker.record_crash(crash, fingerprints, now)
+        fingerprints = tuple(request.fingerprint for request in requests)
+        parts = distinct_parts(request.parts for request in requests)
+        parts = parts[:MAX_REPORTED_PARTS]
+        answered = self.tracker.parts.answered(parts)
+        report = CrashReport(crash, fingerprints, parts, answered)
+        self.tracker.apply(report, now)
         self.log.write(
             Event.SERVER_CRASH_REPORTED,
             server=server.server_id,
             requests=len(fingerprints),
             fingerprints=",".join(fingerprints[:MAX_WRITES]),
+            parts=_format(parts[:MAX_WRITES]),
         )
         for fingerprint in fingerprints:
             self._store_if_repeated(fingerprint)
-        self._unreported.append(CrashReport(crash, fingerprints))
+        self._unreported.append(report)
+        self._report_new_groups()
         self.on_crash()
 
+    def _report_new_groups(self):
+        """Have the groups that this instance found reported and stored."""
+        for group in self.tracker.parts.groups.keys() - self.refused_groups:
+            self._log_group(group)
+            self._unreported.append(RefusedParts(tuple(sorted(group))))
+            self._store(PARTS_NAME + _format(sorted(group)))
+
+    def _log_group(self, group):
+        self.refused_groups.add(group)
+        self.log.write(Event.FATAL_PARTS_FOUND, parts=_format(sorted(group)))
+
     def _store_if_repeated(self, fingerprint):
         """Have a request written to the store if it was present at several crashes."""
         if self.tracker.crash_count(fingerprint, self._now()) >= CRASHES_TO_STORE:
-            self._unwritten[fingerprint] = None
-            self._has_unwritten.set()
+            self._store(fingerprint)
+
+    def _store(self, name):
+        self._unwritten[name] = None
+        self._has_unwritten.set()
 
     def _update_refused(self):
-        """Log the requests that are refused from now on."""
+        """Log the requests and parts that are refused from now on."""
         now = self._now()
         refused = {f for f in self._suspects() if self.tracker.is_refused(f, now)}
         for fingerprint in refused - self.refused:
@@ -168,31 +208,33 @@
                 crashes=self.tracker.crash_count(fingerprint, now),
             )
         self.refused = refused
+        for group in self.tracker.parts.groups.keys() - self.refused_groups:
+            self._log_group(group)
 
     # Reports between instances.
 
-    def messages(self, whole: bool) -> list[CrashReport | ClearedFingerprint]:
+    def messages(self, whole: bool) -> list[Suspicions]:
         """Return what the next report to peers contains.
 
         A whole report repeats what is recent, and all that is known of requests
-        that were present at several crashes.
+        that were present at several crashes, and of refused parts.
         """
         now = self._now()
         messages, self._unreported = self._unreported[:], []
-        self._recent += [(now, message) for message in messages]
+        answered = [m for m in messages if isinstance(m, AnsweredParts)]
+        self._recent += [(now, m) for m in messages if m not in answered]
         if whole:
             oldest = now - REPEAT_FOR_S
             self._recent = [item for item in self._recent if item[0] >= oldest]
-            messages = [message for _, message in self._recent]
+            messages = answered + [_aged(m, now - at) for at, m in self._recent]
             messages += self._known_repeats(now)
+            groups = [*self.tracker.parts.groups][-MAX_REPORTED_GROUPS:]
+            messages += [RefusedParts(tuple(sorted(group))) for group in groups]
         return messages[-MAX_REPORTED:]
 
-    def apply(self, message: CrashReport | ClearedFingerprint) -> None:
+    def apply(self, message: Suspicions) -> None:
         """Apply a peer's message."""
-        if isinstance(message, CrashReport):
-            self.tracker.record_crash(message.crash, message.fingerprints, self._now())
-        else:
-            self.tracker.clear(message)
+        self.tracker.apply(message, self._now())
 
     def _known_repeats(self, now):
         counts = {f: self.tracker.crash_count(f, now) for f in self._suspects()}
@@ -211,17 +253,24 @@
 
     def apply_change(self, change: Change) -> None:
         """Apply a change of the record; raise `ValueError` if it is malformed."""
-        fingerprint, _, writer = change.key.removeprefix(self.prefix).partition("/")
-        if change.item is None:
+        name, _, writer = change.key.removeprefix(self.prefix).partition("/")
+        group = _group(name)
+        if change.item is not None:
+            keys = decode_crashes(change.item.value)
+            if group:
+                self.tracker.parts.refuse_reported(group)
+                return
+            for key in keys:
+                self.tracker.record_crash(server_crash(key), (name,), self._now())
+        elif writer == self.instance:
             # A record that has lapsed or was lost clears nothing.
-            if writer == self.instance:
-                self._store_if_repeated(fingerprint)
-            return
-        for key in decode_crashes(change.item.value):
-            self.tracker.record_crash(server_crash(key), (fingerprint,), self._now())
+            if group:
+                self._store(name)
+            else:
+                self._store_if_repeated(name)
 
     async def run(self) -> None:
-        """Write the requests present at several crashes until cancelled."""
+        """Write what is refused or present at several crashes until cancelled."""
         while True:
             await self._has_unwritten.wait()
             started_at = self.sync.clock()
@@ -237,29 +286,30 @@
         for fingerprint in batch:
             del self._unwritten[fingerprint]
         try:
-            await self._write_suspects([f for f in batch if self._is_known(f)])
+            await self._write_suspects([name for name in batch if self._is_known(name)])
         except StoreError:
             self._unwritten.update(dict.fromkeys(batch))
             raise
         if not self._unwritten:
             self._has_unwritten.clear()
 
-    async def _write_suspects(self, fingerprints):
-        if not fingerprints:
+    async def _write_suspects(self, names):
+        if not names:
             return
         lease = await self.store.grant_lease(STORED_FOR_S)
         writes = tuple(
-            Write(f"{self.prefix}{f}/{self.instance}", self._encode(f), lease)
-            for f in fingerprints
-            if self._is_known(f)
+            Write(f"{self.prefix}{name}/{self.instance}", self._encode(name), lease)
+            for name in names
+            if self._is_known(name)
         )
         await self.store.transact((), writes)
 
-    def _is_known(self, fingerprint):
-        return fingerprint in self.tracker.suspicions
+    def _is_known(self, name):
+        return name in self.tracker.suspicions or _group(name) in self.refused_groups
 
-    def _encode(self, fingerprint):
-        crashes = self.tracker.suspicions[fingerprint].crashes
+    def _encode(self, name):
+        suspicion = self.tracker.suspicions.get(name)
+        crashes = suspicion.crashes if suspicion is not None else ()
         return json.dumps(sorted(int(c.incarnation) for c in crashes)).encode()
 
 
@@ -269,3 +319,31 @@
     if not isinstance(keys, list) or not all(isinstance(key, int) for key in keys):
         raise ValueError("the record of a suspect is not a list of numbers")
     return keys
+
+
+def _aged(message, age_s):
+    """Return a message as it is repeated after a time."""
+    return (
+        replace(message, age_s=age_s) if isinstance(message, CrashReport) else message
+    )
+
+
+def _is_answering(job, now):
+    """Return whether a request's answer has gone on for a while."""
+    if job.first_byte_s is None:
+        return False
+    return now - job.request.received_at - job.first_byte_s > MIN_ANSWER_S
+
+
+def _format(parts):
+    return "-".join(f"{part:016x}" for part in parts)
+
+
+def _group(name):
+    """Return the group of parts that a name in the store stands for, if any.
+
+    Raises `ValueError` if its parts cannot be decoded.
+    """
+    if not name.startswith(PARTS_NAME):
+        return frozenset()
+    return frozenset(int(part, 16) for part in name[len(PARTS_NAME) :].split("-"))
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -51,6 +51,8 @@
 # Peers report most of what is below the instances' own keys; the rest is for those
 # cut off from them, and for a vacant orderer's lease.
 OWN_KEYS_MAX_LAG_S = 4.0
+# A restarted instance has seen answers on most parts of prompts after this time.
+LEARNING_S = 2.0
 # Interval between checks for expired state.
 HOUSEKEEPING_INTERVAL_S = 0.2
 METRICS_TARGET = "/metrics"
@@ -203,7 +205,9 @@
             rng=self.rng,
         )
         if not settings.first_start:
-            self.front.slack_from = self.loop.time() + settings.retry_limits.window_s
+            now = self.loop.time()
+            self.front.slack_from = now + settings.retry_limits.window_s
+            self.crashes.tracker.parts.learning_until = now + LEARNING_S
         self.front.instance_count = self._instance_count
         self.front.state_ages = lambda: state_ages(self, self.loop.time())
 
--- a/src/cassiaford/gateway/_job.py
+++ b/src/cassiaford/gateway/_job.py
@@ -6,7 +6,7 @@
 from cassiaford.gateway._caller_connection import CallerConnection
 from cassiaford.gateway._configuration import Customer, Route
 from cassiaford.gateway._messages import HttpRequest, RequestMetadata
-from cassiaford.suspects import request_fingerprint
+from cassiaford.suspects import part_fingerprint, request_fingerprint
 from cassiaford.verdict import Failure, Verdict
 
 
@@ -53,6 +53,15 @@
             customer, request.method, request.target, request.body
         )
 
+    @cached_property
+    def part_fingerprints(self) -> tuple[int, ...]:
+        """The identities of the parts of its prompt that other requests may share."""
+        metadata = self.metadata
+        return tuple(
+            part_fingerprint(metadata.model or "", part.part_id)
+            for part in metadata.parts[:-1]
+        )
+
     @property
     def missed_target(self) -> bool:
         """Whether the response started late or paused for too long."""
--- a/src/cassiaford/gateway/_peer_codec.py
+++ b/src/cassiaford/gateway/_peer_codec.py
@@ -7,7 +7,14 @@
 from cassiaford._schemas import load_schema
 from cassiaford.gateway._store import Item, Page
 from cassiaford.gateway.policy import PeerState, PlacedWork
-from cassiaford.suspects import ClearedFingerprint, Crash, CrashReport
+from cassiaford.suspects import (
+    AnsweredParts,
+    ClearedFingerprint,
+    Crash,
+    CrashReport,
+    RefusedParts,
+    Suspicions,
+)
 
 _schema = load_schema(__file__, "peers.capnp")
 
@@ -38,7 +45,7 @@
     out_of_use: frozenset[int] = frozenset()
     unreachable: frozenset[int] = frozenset()
     placements: tuple[tuple[int, int], ...] = ()
-    suspicions: tuple[CrashReport | ClearedFingerprint, ...] = ()
+    suspicions: tuple[Suspicions, ...] = ()
 
     @property
     def whole(self) -> bool:
@@ -116,7 +123,13 @@
 
 def _encode_suspicions(message, suspicions):
     message.crashes = [
-        {"server": int(s.crash.incarnation), "requests": list(s.fingerprints)}
+        {
+            "server": int(s.crash.incarnation),
+            "requests": list(s.fingerprints),
+            "parts": list(s.parts),
+            "answered": list(s.answered),
+            "ageMs": round(s.age_s * 1000),
+        }
         for s in suspicions
         if isinstance(s, CrashReport)
     ]
@@ -128,17 +141,37 @@
         for s in suspicions
         if isinstance(s, ClearedFingerprint)
     ]
+    message.refusedParts = [
+        {"parts": list(s.parts)} for s in suspicions if isinstance(s, RefusedParts)
+    ]
+    message.answeredParts = [
+        part for s in suspicions if isinstance(s, AnsweredParts) for part in s.parts
+    ]
 
 
 def _suspicions(message):
     crashes = (
-        CrashReport(server_crash(c.server), tuple(c.requests)) for c in message.crashes
+        CrashReport(
+            server_crash(c.server),
+            tuple(c.requests),
+            tuple(c.parts),
+            tuple(c.answered),
+            c.ageMs / 1000,
+        )
+        for c in message.crashes
     )
     cleared = (
         ClearedFingerprint(c.request, tuple(map(server_crash, c.servers)))
         for c in message.cleared
     )
-    return (*crashes, *cleared)
+    refused = (RefusedParts(tuple(group.parts)) for group in message.refusedParts)
+    answered = tuple(message.answeredParts)
+    return (
+        *((AnsweredParts(answered),) if answered else ()),
+        *crashes,
+        *cleared,
+        *refused,
+    )
 
 
 def server_crash(key: int) -> Crash:
--- a/src/cassiaford/gateway/peers.capnp
+++ b/src/cassiaford/gateway/peers.capnp
@@ -26,6 +26,9 @@
 struct Crash {
   server @0 :UInt32;         # digest of the backend server's incarnation
   requests @1 :List(Text);   # fingerprints
+  parts @2 :List(UInt64);    # fingerprints of parts of prompts without an answer
+  ageMs @3 :UInt32;          # since the crash
+  answered @4 :List(UInt64); # those of the parts that were answered before
 }
 
 struct Cleared {
@@ -33,6 +36,10 @@
   servers @1 :List(UInt32);  # whose crashes it is cleared of
 }
 
+struct PartGroup {
+  parts @0 :List(UInt64);    # refused where all of them are in one prompt
+}
+
 # A report that is not whole identifies its sender by digest and contains only
 # what has changed; only whole reports contain the texts.
 struct Report {
@@ -54,6 +61,8 @@
   readSpeed @15 :UInt32;    # the sender's estimate, in prefill tokens a second
   crashes @16 :List(Crash);
   cleared @17 :List(Cleared);
+  refusedParts @18 :List(PartGroup);
+  answeredParts @19 :List(UInt64);  # since they were reported with a crash
 }
 
 # An instance's copy of a part of the store, for a peer whose calls to the store fail.
--- a/src/cassiaford/gateway/policy/__init__.py
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -3,7 +3,7 @@
 Times are seconds on a monotonic clock that the caller reads.
 """
 
-from cassiaford.gateway.policy._crash_evidence import CrashEvidence
+from cassiaford.gateway.policy._crash_evidence import BrokenRequest, CrashEvidence
 from cassiaford.gateway.policy._decode_times import DecodeTimes
 from cassiaford.gateway.policy._engine_placer import (
     EnginePlacer,
@@ -23,6 +23,7 @@
 from cassiaford.gateway.policy._service_placer import PlainServer, ServicePlacer
 
 __all__ = [
+    "BrokenRequest",
     "CrashEvidence",
     "DecodeTimes",
     "EnginePlacer",
--- a/src/cassiaford/gateway/policy/_crash_evidence.py
+++ b/src/cassiaford/gateway/policy/_crash_evidence.py
@@ -1,6 +1,7 @@
 """Evidence that a server crashed, and the requests that it was running then."""
 
 from collections.abc import Hashable
+from dataclasses import dataclass
 
 # The entry of a crashed server that sends no reset lasts for several heartbeats.
 EVIDENCE_TTL_S = 10.0
@@ -8,6 +9,14 @@
 CRASH_TTL_S = 2.0
 
 
+@dataclass(frozen=True)
+class BrokenRequest:
+    """A request that broke, and the parts of its prompt that may be the cause."""
+
+    fingerprint: str
+    parts: tuple[int, ...] = ()
+
+
 class CrashEvidence:
     """Matches requests whose connections broke with servers that ended.
 
@@ -17,43 +26,47 @@
     Examples
     --------
     >>> evidence = CrashEvidence()
-    >>> evidence.record_break("engine-1", "f", 0.0)
+    >>> evidence.record_break("engine-1", BrokenRequest("f"), 0.0)
     False
     >>> evidence.record_end("engine-1", 0.1)
-    ('f',)
-    >>> evidence.record_break("engine-1", "g", 0.2)
+    (BrokenRequest(fingerprint='f', parts=()),)
+    >>> evidence.record_break("engine-1", BrokenRequest("g"), 0.2)
     True
     """
 
     def __init__(self):
-        self.breaks: dict[Hashable, dict[str, float]] = {}
+        self.breaks: dict[Hashable, dict[BrokenRequest, float]] = {}
         self.ended_at: dict[Hashable, float] = {}
 
-    def record_break(self, server: Hashable, fingerprint: str, now: float) -> bool:
+    def record_break(
+        self, server: Hashable, request: BrokenRequest, now: float
+    ) -> bool:
         """Record a broken request; return whether its server is known to have ended."""
         ended_at = self.ended_at.get(server)
         if ended_at is not None and now - ended_at <= CRASH_TTL_S:
             return True
-        self.breaks.setdefault(server, {})[fingerprint] = now
+        self.breaks.setdefault(server, {})[request] = now
         return False
 
-    def record_end(self, server: Hashable, now: float) -> tuple[str, ...]:
+    def record_end(self, server: Hashable, now: float) -> tuple[BrokenRequest, ...]:
         """Record that a server ended; return the requests that broke shortly before."""
         self.ended_at[server] = now
         broken = self.breaks.pop(server, {})
-        return tuple(f for f, at in broken.items() if now - at <= EVIDENCE_TTL_S)
+        return tuple(r for r, at in broken.items() if now - at <= EVIDENCE_TTL_S)
 
     def remove_request(self, fingerprint: str) -> None:
         """Remove a request that has completed elsewhere."""
-        for broken in self.breaks.values():
-            broken.pop(fingerprint, None)
+        for server, broken in self.breaks.items():
+            self.breaks[server] = {
+                r: at for r, at in broken.items() if r.fingerprint != fingerprint
+            }
 
     def expire(self, now: float) -> None:
         """Remove what is too old to match."""
         for server, broken in tuple(self.breaks.items()):
-            for fingerprint, at in tuple(broken.items()):
+            for request, at in tuple(broken.items()):
                 if now - at > EVIDENCE_TTL_S:
-                    del broken[fingerprint]
+                    del broken[request]
             if not broken:
                 del self.breaks[server]
         for server, at in tuple(self.ended_at.items()):
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -95,6 +95,7 @@
     ORDERS_RESUMED = (1706, Level.INFO, "orders resumed")
     LAST_SERVER_KEPT = (1707, Level.WARNING, "last serving engine not reloaded")
     SERVER_CRASH_REPORTED = (1711, Level.WARNING, "requests suspect after a crash")
+    FATAL_PARTS_FOUND = (1713, Level.ERROR, "parts of prompts refused from now on")
     FATAL_REQUEST_FOUND = (1712, Level.ERROR, "request refused from now on")
 
     # 18xx: the key-value service.
--- a/src/cassiaford/suspects/_tracker.py
+++ b/src/cassiaford/suspects/_tracker.py
@@ -12,6 +12,9 @@
 import collections
 from dataclasses import dataclass
 
+from cassiaford.suspects._crash import Crash
+from cassiaford.suspects._parts import PartTracker
+
 # The crashes at which a request must have been present to be refused, unless a
 # tracker is created with another number.
 CRASHES_TO_REFUSE = 2
@@ -21,23 +24,21 @@
 MAX_INVALIDATED = 20_000
 
 
-@dataclass(frozen=True)
-class Crash:
-    """The identity of a crash: a server and the incarnation that it ended."""
-
-    server: str
-    incarnation: str
-
-
 @dataclass(frozen=True)
 class CrashReport:
     """A crash and the fingerprints of the requests that were running there.
 
-    Each instance reports its own requests; the reports of a crash are merged.
+    `parts` are those of the prompts whose answers had not begun; the sender has
+    seen an answer on those that are `answered` before. `age_s` is the time since
+    the crash. Each instance reports its own requests; the reports of a crash are
+    merged.
     """
 
     crash: Crash
     fingerprints: tuple[str, ...]
+    parts: tuple[int, ...] = ()
+    answered: tuple[int, ...] = ()
+    age_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -48,12 +49,30 @@
     crashes: tuple[Crash, ...]
 
 
+@dataclass(frozen=True)
+class AnsweredParts:
+    """Parts that were candidates for crashes and have been answered since.
+
+    Unlike other messages it must not be repeated, since crashes may follow it.
+    """
+
+    parts: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class RefusedParts:
+    """Parts whose common presence in a request is refused."""
+
+    parts: tuple[int, ...]
+
+
 @dataclass(frozen=True)
 class SuspicionRequest:
     """A request to a peer for all its suspicions."""
 
 
-SuspectMessage = CrashReport | ClearedFingerprint | SuspicionRequest
+Suspicions = CrashReport | ClearedFingerprint | AnsweredParts | RefusedParts
+SuspectMessage = Suspicions | SuspicionRequest
 
 
 @dataclass
@@ -70,7 +89,8 @@
     A request that was present at `crashes_to_refuse` crashes is refused, unless
     another one was present at all of them too; then either may be the cause, and
     both are refused only at `crashes_if_ambiguous` crashes, by default as many.
-    Times are in seconds on the instance's monotonic clock.
+    `parts` has what is known of the parts of prompts. Times are in seconds on the
+    instance's monotonic clock.
 
     Examples
     --------
@@ -88,9 +108,25 @@
     ):
         self.crashes_to_refuse = crashes_to_refuse
         self.crashes_if_ambiguous = crashes_if_ambiguous or crashes_to_refuse
+        self.parts = PartTracker()
         self.suspicions = collections.OrderedDict()
         self._invalidated = collections.OrderedDict()
 
+    def apply(self, message: Suspicions, now: float) -> None:
+        """Apply a peer's message."""
+        match message:
+            case CrashReport():
+                self.record_crash(message.crash, message.fingerprints, now)
+                crashed_at = now - message.age_s
+                self.parts.mark_answered(message.answered)
+                self.parts.record_crash(message.crash, message.parts, crashed_at)
+            case ClearedFingerprint():
+                self.clear(message)
+            case AnsweredParts():
+                self.parts.record_answer(message.parts)
+            case RefusedParts():
+                self.parts.refuse_reported(frozenset(message.parts))
+
     def record_crash(
         self, crash: Crash, fingerprints: tuple[str, ...], now: float
     ) -> None:
