--- a/src/cassiaford/gateway/_attempt.py
+++ b/src/cassiaford/gateway/_attempt.py
@@ -117,12 +117,15 @@
         self.has_response = True
         return ServerResponse(head, metadata, self.connection)
 
-    async def read_short_body(self, response: ServerResponse) -> bytes | None:
-        """Return the whole body, or None if it is too long to buffer."""
+    async def read_start(self, response: ServerResponse) -> tuple[bytes, bool]:
+        """Return the first bytes of the body, and whether they are all of it.
+
+        A body that is too long to buffer is not waited for.
+        """
         length = response.head.length
         if length is not None and length > MAX_BUFFERED_BYTES:
-            return None
-        return await response.connection.body()
+            return b"", False
+        return await response.connection.body(MAX_BUFFERED_BYTES)
 
     def finish(self) -> None:
         """Release the connection to the pool after a complete response."""
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -163,21 +163,19 @@
 
     async def _relay_whole(self, attempt, response: ServerResponse):
         connection = self.job.connection
-        body = await attempt.read_short_body(response)
+        body, complete = await attempt.read_start(response)
         head = response.head
         headers = self.context.dialect.returned_headers(head.headers)
-        length = len(body) if body is not None else head.length
+        length = len(body) if complete else head.length
         connection.send_head(
             head.status, head.reason, without_content_length(headers), length
         )
         self.job.head_sent = True
         self._record_first_byte()
-        if body is None:
-            while data := await response.connection.chunk():
-                connection.send_body(data)
-                await connection.drain()
-        else:
-            connection.send_body(body)
+        connection.send_body(body)
+        while not complete and (data := await response.connection.chunk()):
+            connection.send_body(data)
+            await connection.drain()
         connection.end()
 
     async def _relay_events(self, attempt, response, choice):
--- a/src/cassiaford/gateway/_http_caller.py
+++ b/src/cassiaford/gateway/_http_caller.py
@@ -9,6 +9,10 @@
     ExchangeError,
     request_bytes,
 )
+from cassiaford.verdict import Failure
+
+# Pages of the store, the longest responses, have about a megabyte.
+MAX_BODY_BYTES = 16_777_216
 
 
 @dataclass(frozen=True)
@@ -41,7 +45,7 @@
         target: str,
         timeout_s: float,
         headers: Headers = (),
-        body: bytes = b"",
+        data: bytes = b"",
     ) -> Reply:
         """Return the response to a call; raise `CallFailedError`."""
         connection = None
@@ -49,9 +53,12 @@
             async with asyncio.timeout(timeout_s):
                 connection = await self.pool.acquire(address)
                 lines = [("Host", address), *headers]
-                connection.start(request_bytes(method, target, lines, body))
+                connection.start(request_bytes(method, target, lines, data))
                 head = await connection.head()
-                reply = Reply(head.status, await connection.body(), head.headers)
+                body, complete = await connection.body(MAX_BODY_BYTES)
+                if not complete:
+                    raise ExchangeError(Failure.INVALID_RESPONSE, "body too long")
+                reply = Reply(head.status, body, head.headers)
         except ExchangeError as error:
             self._drop(connection)
             raise CallFailedError(str(error), connection is not None) from error
--- a/src/cassiaford/gateway/_server_connection.py
+++ b/src/cassiaford/gateway/_server_connection.py
@@ -13,6 +13,9 @@
 
 # Unread bytes of a response's body at which reading from the socket pauses.
 MAX_UNREAD_BYTES = 262_144
+# Heads, trailers and chunk headers are far shorter; more bytes without any of a body
+# are no response.
+MAX_OVERHEAD_BYTES = 262_144
 # Connecting takes milliseconds within a region; TCP resends a lost SYN after a
 # second, which is too late to wait for.
 CONNECT_TIMEOUT_S = 0.5
@@ -77,6 +80,7 @@
         self._waiter: asyncio.Future | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered = 0
+        self._overhead = 0
         self._in_exchange = False
         self._sent = False
         self._accepts: Callable[[ResponseHead], bool] | None = None
@@ -95,13 +99,20 @@
         if not self._in_exchange:
             self.close()
             return
+        self._overhead += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
-            self.usable = False
-            if self._in_exchange and not self._complete:
-                self._fail(Failure.INVALID_RESPONSE)
-                self.transport.abort()
+            self._reject_response()
+            return
+        if self._overhead > MAX_OVERHEAD_BYTES:
+            self._reject_response()
+
+    def _reject_response(self):
+        self.usable = False
+        if self._in_exchange and not self._complete:
+            self._fail(Failure.INVALID_RESPONSE)
+            self.transport.abort()
 
     def eof_received(self):
         """Complete a response that is delimited by the end of the connection."""
@@ -141,6 +152,7 @@
 
     def on_headers_complete(self):
         """Store the head unless it is interim or belongs to another request."""
+        self._overhead = 0
         status = self.parser.get_status_code()
         if self._complete or status < 200:
             self._skipping = True
@@ -159,6 +171,7 @@
 
     def on_body(self, body):
         """Collect a part of the body."""
+        self._overhead = 0
         if self._skipping:
             return
         self._chunks.append(body)
@@ -210,12 +223,20 @@
         self._buffered = 0
         return data
 
-    async def body(self) -> bytes:
-        """Return the rest of the body."""
+    async def body(self, max_bytes: int) -> tuple[bytes, bool]:
+        """Return the rest of the body, and whether that is all of it.
+
+        Stops reading once there are more bytes than `max_bytes`.
+        """
         parts = []
-        while data := await self.chunk():
+        size = 0
+        while size <= max_bytes:
+            data = await self.chunk()
+            if not data:
+                return b"".join(parts), True
             parts.append(data)
-        return b"".join(parts)
+            size += len(data)
+        return b"".join(parts), False
 
     def finish(self) -> bool:
         """End the exchange; return whether the connection may be reused."""
@@ -252,6 +273,7 @@
         self._until_close = False
         self._chunks.clear()
         self._buffered = 0
+        self._overhead = 0
 
     def _raise_if_failed(self):
         if self._failure is not None:
