--- a/src/cassiaford/engines/__init__.py
+++ b/src/cassiaford/engines/__init__.py
@@ -8,6 +8,7 @@
     block_chain,
     cache_scope,
     prompt_text,
+    shared_parts,
 )
 from cassiaford.engines._protocol import (
     CacheEvent,
@@ -41,4 +42,5 @@
     "create_engine_control",
     "create_poller",
     "prompt_text",
+    "shared_parts",
 ]
--- a/src/cassiaford/engines/_prompt.py
+++ b/src/cassiaford/engines/_prompt.py
@@ -33,6 +33,14 @@
     return prompt.encode("utf-8", "surrogatepass")
 
 
+def shared_parts(body: Mapping[str, object]) -> tuple[str, ...]:
+    """Return the parts of a request body's prompt that others may share.
+
+    These are all messages but the last one. The body must be valid.
+    """
+    return tuple(map(_message_text, body.get("messages", ())[:-1]))
+
+
 def block_chain(scope: int, text: bytes) -> tuple[int, ...]:
     """Return the chained hash of each whole block of a prompt.
 
@@ -53,7 +61,8 @@
 def _chat_text(messages):
     if not isinstance(messages, list) or not messages:
         raise ValueError("'messages' must be a list with at least one message")
-    return b"".join(_message_text(message) for message in messages)
+    text = "".join(_message_text(message) for message in messages)
+    return text.encode("utf-8", "surrogatepass")
 
 
 def _message_text(message):
@@ -66,8 +75,7 @@
         content = ""
     if not isinstance(content, str):
         raise ValueError("a message's 'content' must be a string or a list of parts")
-    text = f"<|{message['role']}|>{content}"
-    return text.encode("utf-8", "surrogatepass")
+    return f"<|{message['role']}|>{content}"
 
 
 def _part_text(part):
--- a/src/cassiaford/instance/_crashes.py
+++ b/src/cassiaford/instance/_crashes.py
@@ -2,11 +2,11 @@
 
 import threading
 
-from cassiaford.engines import CacheEvents, EngineObserver, LoadReport
+from cassiaford.engines import CacheEvents, EngineObserver, LoadReport, shared_parts
 from cassiaford.fleet import SuspectRegistry
 from cassiaford.instance._fingerprint import fingerprint
 from cassiaford.pipeline import AdmittedRequest, SuspectPolicy
-from cassiaford.suspects import SuspectPlacement
+from cassiaford.suspects import SuspectPlacement, part_fingerprint
 from cassiaford.verdict import Refusal, RefusalReason, Verdict
 
 
@@ -28,7 +28,8 @@
         """Return a refusal if a request has crashed too many servers."""
         if not self.registry.has_suspects():
             return None
-        if not self.registry.is_refused(fingerprint(request)):
+        parts = _part_fingerprints(request)
+        if not self.registry.is_refused(fingerprint(request), parts):
             return None
         return Refusal(
             RefusalReason.CRASHES_SERVERS,
@@ -41,13 +42,17 @@
         # Reported immediately, since the next attempt may follow within
         # milliseconds. The reports on one incarnation are merged.
         self.registry.record_crash(
-            server, (fingerprint(request),), self.incarnations.get(server, "")
+            server,
+            (fingerprint(request),),
+            self.incarnations.get(server, ""),
+            _part_fingerprints(request),
         )
 
     def record_completion(self, request: AdmittedRequest) -> None:
         """Clear the suspicion of a request that ran to completion."""
-        if self.registry.has_suspects():
-            self.registry.record_completion(fingerprint(request))
+        parts = _part_fingerprints(request)
+        if parts or self.registry.has_suspects():
+            self.registry.record_completion(fingerprint(request), parts)
 
     def servers_to_avoid(
         self, request: AdmittedRequest, servers: tuple[str, ...]
@@ -92,3 +97,10 @@
             return ""
         suspect = fingerprint(request)
         return suspect if self.registry.is_suspect(suspect) else ""
+
+
+def _part_fingerprints(request):
+    call = request.call
+    if call is None:
+        return ()
+    return tuple(part_fingerprint(call.model.name, p) for p in shared_parts(call.body))
--- a/src/cassiaford/suspects/_parts.py
+++ b/src/cassiaford/suspects/_parts.py
@@ -61,7 +61,8 @@
 
 def part_fingerprint(model: str, part: str) -> int:
     """Return the number that represents a part of a prompt on all instances."""
-    return xxhash.xxh3_64_intdigest(f"{model}\0{part}".encode())
+    text = f"{model}\0{part}"
+    return xxhash.xxh3_64_intdigest(text.encode("utf-8", "surrogatepass"))
 
 
 class PartTracker:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -4,12 +4,21 @@
 import threading
 import time
 import unittest
+from dataclasses import replace
 
 from cassiaford.engines import LoadReport
 from cassiaford.fleet import create_suspect_registry
+from cassiaford.fleet._suspects import decode_suspect_message, encode_suspect_message
 from cassiaford.instance._crashes import CrashMonitor
 from cassiaford.pipeline import SuspectPolicy
-from cassiaford.suspects import Crash, SuspectTracker, servers_for_suspects
+from cassiaford.suspects import (
+    AnsweredParts,
+    Crash,
+    CrashReport,
+    RefusedParts,
+    SuspectTracker,
+    servers_for_suspects,
+)
 from cassiaford.timeline import HybridClock, Journal
 from cassiaford.verdict import Refusal, RefusalReason, Verdict
 from tests.dispatcher_case import DispatcherCase
@@ -184,6 +193,31 @@
         self.assertEqual(server.requests, [])
 
 
+def conversation(*texts):
+    """Return a model request with these texts as messages."""
+    request = model_request(1)
+    messages = [{"role": "user", "content": text} for text in texts]
+    caller = replace(request.authenticated.caller, body=repr(texts).encode())
+    return replace(
+        request,
+        authenticated=replace(request.authenticated, caller=caller),
+        call=replace(request.call, body={**request.call.body, "messages": messages}),
+    )
+
+
+class SuspectMessageTest(unittest.TestCase):
+    def test_messages_about_parts_are_encoded_whole(self):
+        crash = Crash("engine-1", "7")
+        messages = (
+            CrashReport(crash, ("f",), (1, 2**63), (1,), 1.5),
+            AnsweredParts((3, 4)),
+            RefusedParts((5,)),
+        )
+        for message in messages:
+            decoded = decode_suspect_message(encode_suspect_message(message))
+            self.assertEqual(decoded, message)
+
+
 class SuspectRegistryTest(unittest.TestCase):
     def setUp(self):
         self.fleet = {}
@@ -222,6 +256,31 @@
         started_later = self.registry("entry-4")
         self.wait_until(lambda: started_later.is_refused("f"))
 
+    def test_parts_of_prompts_that_crash_servers_are_refused_at_all_instances(self):
+        first, second, third = (self.registry(f"entry-{n}") for n in (1, 2, 3))
+        third.record_completion("earlier", (1, 2))
+        first.record_crash("engine-1", ("f",), "1", (1, 99))
+        time.sleep(0.06)
+        second.record_crash("engine-2", ("g",), "1", (1, 2, 99))
+        self.wait_until(lambda: len(first.tracker.parts.crashes.get(99, ())) == 2)
+        time.sleep(0.06)
+        first.record_crash("engine-3", ("h",), "1", (1, 99))
+        for registry in (first, second, third):
+            self.wait_until(lambda r=registry: r.is_refused("new", (1, 3, 99)))
+            self.assertFalse(registry.is_refused("new", (1, 2)))
+        started_later = self.registry("entry-4")
+        self.wait_until(lambda: started_later.is_refused("new", (1, 99)))
+
+    def test_a_model_call_is_known_by_its_messages_but_the_last(self):
+        registry = self.registry("entry-1")
+        monitor = CrashMonitor(registry)
+        for number in range(3):
+            request = conversation("a fatal text", f"question {number}")
+            monitor.record_crash(request, f"engine-{number}")
+            time.sleep(0.06)
+        self.assertIsNotNone(monitor.refusal(conversation("a fatal text", "another")))
+        self.assertIsNone(monitor.refusal(conversation("a sound text", "question 0")))
+
     def test_suspects_of_two_instances_use_different_servers_before_reports(self):
         # Two instances had a fatal request and a harmless stream on the server
         # that crashed, and send them again within the same millisecond.
