--- a/src/cassiaford/gateway/_crashes.py
+++ b/src/cassiaford/gateway/_crashes.py
@@ -40,14 +40,18 @@
 STORED_FOR_S = 600.0
 # A crash is part of whole reports for this long, in case reports are lost.
 REPEAT_FOR_S = 5.0
-# Keep a report within one datagram.
+# Keep a report within one datagram. Of the parts of prompts, those that were never
+# answered go first.
 MAX_REPORTED = 64
-MAX_REPORTED_PARTS = 64
+MAX_REPORTED_PARTS = 32
 MAX_REPORTED_GROUPS = 8
 MAX_WRITES = 16
 RETRY_INTERVAL_S = 1.0
 # An answer that has gone on for this long is not what crashed its server.
 MIN_ANSWER_S = 0.5
+# Keeps the names of groups within the length of a key; larger ones are those that
+# the next crash divides.
+MAX_STORED_PARTS = 6
 # The names of groups of parts in the store begin so, those of requests do not.
 PARTS_NAME = "parts-"
 # Identifies these calls in the tracking of the store's reachability.
@@ -114,7 +118,7 @@
     def is_suspect(self, job: Job) -> bool:
         """Return whether a request, or a part of it, was running at a crash."""
         tracker = self.tracker
-        if not tracker.parts.crashes.keys().isdisjoint(job.part_fingerprints):
+        if tracker.parts.crashes and tracker.parts.is_suspect(job.part_fingerprints):
             return True
         return bool(tracker.suspicions) and tracker.is_suspect(
             job.fingerprint, self._now()
@@ -144,6 +148,8 @@
             answered = self.tracker.parts.record_answer(job.part_fingerprints)
             if answered:
                 self._unreported.append(AnsweredParts(answered))
+                # What remains may have been found by it.
+                self._report_new_groups()
         if not self.tracker.suspicions:
             return
         cleared = self.tracker.record_completion(job.fingerprint, self._now())
@@ -160,9 +166,11 @@
         crash = server_crash(server_key(server))
         fingerprints = tuple(request.fingerprint for request in requests)
         parts = distinct_parts(request.parts for request in requests)
-        parts = parts[:MAX_REPORTED_PARTS]
-        answered = self.tracker.parts.answered(parts)
-        report = CrashReport(crash, fingerprints, parts, answered)
+        answered = set(self.tracker.parts.answered(parts))
+        parts = tuple(sorted(parts, key=answered.__contains__))[:MAX_REPORTED_PARTS]
+        report = CrashReport(
+            crash, fingerprints, parts, tuple(p for p in parts if p in answered)
+        )
         self.tracker.apply(report, now)
         self.log.write(
             Event.SERVER_CRASH_REPORTED,
@@ -182,7 +190,8 @@
         for group in self.tracker.parts.groups.keys() - self.refused_groups:
             self._log_group(group)
             self._unreported.append(RefusedParts(tuple(sorted(group))))
-            self._store(PARTS_NAME + _format(sorted(group)))
+            if len(group) <= MAX_STORED_PARTS:
+                self._store(PARTS_NAME + _format(sorted(group)))
 
     def _log_group(self, group):
         self.refused_groups.add(group)
@@ -222,7 +231,7 @@
         now = self._now()
         messages, self._unreported = self._unreported[:], []
         answered = [m for m in messages if isinstance(m, AnsweredParts)]
-        self._recent += [(now, m) for m in messages if m not in answered]
+        self._recent += [(now, m) for m in messages if not isinstance(m, AnsweredParts)]
         if whole:
             oldest = now - REPEAT_FOR_S
             self._recent = [item for item in self._recent if item[0] >= oldest]
@@ -323,9 +332,9 @@
 
 def _aged(message, age_s):
     """Return a message as it is repeated after a time."""
-    return (
-        replace(message, age_s=age_s) if isinstance(message, CrashReport) else message
-    )
+    if not isinstance(message, CrashReport):
+        return message
+    return replace(message, age_s=age_s)
 
 
 def _is_answering(job, now):
--- a/src/cassiaford/suspects/_parts.py
+++ b/src/cassiaford/suspects/_parts.py
@@ -157,6 +157,10 @@
         present = frozenset(parts)
         return any(group <= present for group in self.groups)
 
+    def is_suspect(self, parts: Iterable[int]) -> bool:
+        """Return whether a part was present at a crash and never answered."""
+        return any(p in self.crashes and p not in self._answered for p in parts)
+
     def _expire(self, now):
         for part, times in tuple(self.crashes.items()):
             for crash in [c for c, at in times.items() if now - at > EVIDENCE_TTL_S]:
--- a/tests/test_fatal_parts.py
+++ b/tests/test_fatal_parts.py
@@ -9,6 +9,8 @@
 # The users' bounds: the crashes until a part is known, and the sends after that.
 MAX_CRASHES = 5
 MAX_LATER_SENDS = 3
+# Of the platform's store.
+MAX_KEY_BYTES = 200
 SYSTEM = "5c1e07a2"
 FATAL = "dead0001"
 # An engine reads a prompt before it begins an answer.
@@ -113,6 +115,19 @@
         self.assertEqual(self.runs, runs + len(gateways))
 
 
+class StoredNameTest(FatalPartCase):
+    async def test_a_group_too_large_for_a_key_is_not_stored(self):
+        await self.start_engines(FATAL, count=1)
+        gateway = await self.start_gateway()
+        gateway.crashes.tracker.parts.refuse(frozenset(range(20)))
+        gateway.crashes._report_new_groups()
+        gateway.crashes.tracker.parts.refuse(frozenset(range(3)))
+        gateway.crashes._report_new_groups()
+        await self.wait_until(self.stored_suspects)
+        self.assertLessEqual(max(map(len, self.store.items)), MAX_KEY_BYTES)
+        self.assertEqual(len(self.stored_suspects()), 1)
+
+
 class RestartTest(FatalPartCase):
     async def test_a_restart_of_all_instances_does_not_forget_a_fatal_part(self):
         await self.start_engines(FATAL)
