--- a/src/cassiaford/suspects/_parts.py
+++ b/src/cassiaford/suspects/_parts.py
@@ -50,7 +50,6 @@
 NEW_PART = Threshold(crashes=3, spacing_s=0.05)
 # A part that has been answered before is more likely to be beside the fatal one.
 ANSWERED_PART = Threshold(crashes=4, spacing_s=1.0)
-# A crash without another one of the same part counts for this long.
 EVIDENCE_TTL_S = 600.0
 MAX_CRASHES = 500
 MAX_ANSWERED = 8192
@@ -91,6 +90,7 @@
         self.crashes: dict[int, dict[Crash, float]] = {}
         self.groups: dict[Group, None] = {}
         self.learning_until = float("-inf")
+        self._latest_at = float("-inf")
         self._recorded = collections.OrderedDict()
         self._answered = collections.OrderedDict()
 
@@ -108,9 +108,9 @@
         recorded |= new
         for part in new:
             self.crashes.setdefault(part, {})[crash] = crashed_at
+        self._latest_at = max(self._latest_at, crashed_at)
         self._expire(crashed_at)
-        if crashed_at >= self.learning_until:
-            self._find_groups()
+        self._find_groups()
 
     def record_answer(self, parts: Iterable[int]) -> tuple[int, ...]:
         """Record a complete answer; return the parts that it cleared."""
@@ -170,6 +170,8 @@
 
     def _find_groups(self):
         """Refuse the parts that explain crashes which no other group explains."""
+        if self._latest_at < self.learning_until:
+            return
         new = {part for part in self.crashes if part not in self._answered}
         answered = self.crashes.keys() - new
         for parts, threshold in ((new, NEW_PART), (answered, ANSWERED_PART)):
--- a/tests/test_part_schedules.py
+++ b/tests/test_part_schedules.py
@@ -12,7 +12,13 @@
 import unittest
 from dataclasses import dataclass, replace
 
-from cassiaford.suspects import AnsweredParts, Crash, CrashReport, SuspectTracker
+from cassiaford.suspects import (
+    AnsweredParts,
+    Crash,
+    CrashReport,
+    PartTracker,
+    SuspectTracker,
+)
 
 INSTANCES = 6
 ENGINES = 9
@@ -201,6 +207,16 @@
                 refused = schedule.refused / schedule.sound
                 self.assertLessEqual(refused, MAX_REFUSED_SHARE)
 
+    def test_an_instance_that_still_learns_blames_no_part(self):
+        parts = PartTracker()
+        parts.learning_until = 10.0
+        for number in range(5):
+            parts.record_crash(Crash(f"{number}", "1"), (1, 2), float(number))
+        parts.record_answer((2,))
+        self.assertFalse(parts.is_refused((1,)))
+        parts.record_crash(Crash("5", "1"), (1, 2), 11.0)
+        self.assertTrue(parts.is_refused((1,)))
+
     def test_a_fatal_part_is_refused_and_sound_requests_are_served(self):
         self.play(fatal_parts=1)
 
