--- a/src/cassiaford/fleet/_suspects.py
+++ b/src/cassiaford/fleet/_suspects.py
@@ -19,6 +19,7 @@
     SuspectMessage,
     SuspectTracker,
     SuspicionRequest,
+    aged,
 )
 from cassiaford.timeline import Journal, Subject
 
@@ -138,7 +139,7 @@
             self._send_to_peers(body)
             with self._lock:
                 self._repeats.extend(
-                    (now + delay, _aged(message, delay)) for delay in REPEAT_DELAYS_S
+                    (now + delay, aged(message, delay)) for delay in REPEAT_DELAYS_S
                 )
 
     def _send_to_peers(self, body):
@@ -269,13 +270,6 @@
     ]
 
 
-def _aged(message, age_s):
-    """Return a message as it is repeated after a time."""
-    if not isinstance(message, CrashReport):
-        return message
-    return replace(message, age_s=age_s)
-
-
 def _refused(group):
     return RefusedParts(tuple(sorted(group)))
 
--- a/src/cassiaford/gateway/_crashes.py
+++ b/src/cassiaford/gateway/_crashes.py
@@ -8,7 +8,6 @@
 import asyncio
 import json
 from collections.abc import Callable
-from dataclasses import replace
 
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._job import Job
@@ -25,6 +24,7 @@
     RefusedParts,
     SuspectTracker,
     Suspicions,
+    aged,
     distinct_parts,
 )
 from cassiaford.verdict import Refusal, RefusalReason
@@ -148,7 +148,7 @@
             answered = self.tracker.parts.record_answer(job.part_fingerprints)
             if answered:
                 self._unreported.append(AnsweredParts(answered))
-                # What remains may have been found by it.
+                # Of parts that were always together, one may be left as the cause.
                 self._report_new_groups()
         if not self.tracker.suspicions:
             return
@@ -235,7 +235,7 @@
         if whole:
             oldest = now - REPEAT_FOR_S
             self._recent = [item for item in self._recent if item[0] >= oldest]
-            messages = answered + [_aged(m, now - at) for at, m in self._recent]
+            messages = answered + [aged(m, now - at) for at, m in self._recent]
             messages += self._known_repeats(now)
             groups = [*self.tracker.parts.groups][-MAX_REPORTED_GROUPS:]
             messages += [RefusedParts(tuple(sorted(group))) for group in groups]
@@ -330,13 +330,6 @@
     return keys
 
 
-def _aged(message, age_s):
-    """Return a message as it is repeated after a time."""
-    if not isinstance(message, CrashReport):
-        return message
-    return replace(message, age_s=age_s)
-
-
 def _is_answering(job, now):
     """Return whether a request's answer has gone on for a while."""
     if job.first_byte_s is None:
--- a/src/cassiaford/suspects/__init__.py
+++ b/src/cassiaford/suspects/__init__.py
@@ -17,6 +17,7 @@
     SuspectTracker,
     SuspicionRequest,
     Suspicions,
+    aged,
 )
 
 __all__ = [
@@ -31,6 +32,7 @@
     "SuspectTracker",
     "SuspicionRequest",
     "Suspicions",
+    "aged",
     "distinct_parts",
     "part_fingerprint",
     "request_fingerprint",
--- a/src/cassiaford/suspects/_tracker.py
+++ b/src/cassiaford/suspects/_tracker.py
@@ -10,7 +10,7 @@
 """
 
 import collections
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cassiaford.suspects._crash import Crash
 from cassiaford.suspects._parts import PartTracker
@@ -75,6 +75,13 @@
 SuspectMessage = Suspicions | SuspicionRequest
 
 
+def aged(message: Suspicions, age_s: float) -> Suspicions:
+    """Return a message as it is repeated a time after it was made."""
+    if not isinstance(message, CrashReport):
+        return message
+    return replace(message, age_s=age_s)
+
+
 @dataclass
 class Suspicion:
     """The crashes at which a fingerprint was present."""
