--- a/src/cassiaford/gateway/_event_log.py
+++ b/src/cassiaford/gateway/_event_log.py
@@ -1,6 +1,6 @@
 """The log of one gateway: numbered events as JSON lines, limited in volume."""
 
-import itertools
+import collections
 import time
 
 from cassiaford.logs import Event, write_line
@@ -22,7 +22,7 @@
         self.dropped = 0
         self._level = BURST_LINES
         self._updated_at = time.monotonic()
-        self._sampled = itertools.count()
+        self._occurrences = collections.Counter()
 
     def write(self, event: Event, **details: object) -> None:
         """Write one line; details must contain neither a key nor a prompt."""
@@ -45,5 +45,6 @@
 
     def write_sampled(self, event: Event, **details: object) -> None:
         """Write one line for every `SAMPLE_EVERY` occurrences of a routine event."""
-        if next(self._sampled) % SAMPLE_EVERY == 0:
+        if self._occurrences[event] % SAMPLE_EVERY == 0:
             self.write(event, one_of=SAMPLE_EVERY, **details)
+        self._occurrences[event] += 1
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -98,6 +98,7 @@
         )
         placer = self.context.placer
         placer.record_start(choice, job.metadata, job.customer, self.loop.time())
+        self.context.view.log_replaced_weights(choice.server, job.metadata.model)
         try:
             response = await self._receive_response(attempt, choice)
             if response is None:
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -125,6 +125,7 @@
             Section(OWN_PREFIX, max_lag_s=OWN_KEYS_MAX_LAG_S),
         )
         self.mirror = Mirror(sections, self.view)
+        self.view.is_reading = lambda: self.mirror.replacing
         self.sync = MirrorSync(self.mirror, self.adapter.store, self.rng, self.log)
         self.registration = Registration(
             INSTANCES_PREFIX + self.state.name,
--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -66,7 +66,11 @@
 
 
 class Mirror:
-    """A copy of sections of the store, from the store or from a peer's mirror."""
+    """A copy of sections of the store, from the store or from a peer's mirror.
+
+    While it is `replacing` a section, the listener gets changes whose time is
+    unknown.
+    """
 
     def __init__(self, sections: tuple[Section, ...], listener: MirrorListener):
         self.sections = sections
@@ -75,6 +79,7 @@
         self.revisions: dict[str, int] = {s.prefix: 0 for s in sections}
         self.eras: dict[str, int] = {s.prefix: 0 for s in sections}
         self.era = 0
+        self.replacing = False
 
     def replace(self, prefix: str, page: Page, era: int) -> None:
         """Replace all items of a section, unless it is newer by era and revision.
@@ -83,13 +88,11 @@
         """
         if (era, page.revision) < self._position(prefix):
             return
-        items = self.items[prefix]
-        for key in set(items) - {item.key for item in page.items}:
-            del items[key]
-            self.listener.on_change(Change(key, page.revision, None))
-        for item in page.items:
-            if items.get(item.key) != item:
-                self._put(prefix, item)
+        self.replacing = True
+        try:
+            self._replace_items(prefix, page)
+        finally:
+            self.replacing = False
         self.eras[prefix] = era
         self.revisions[prefix] = page.revision
 
@@ -146,6 +149,15 @@
         current = set(self.eras.values()) == {self.era}
         return current and all(self.revisions.values())
 
+    def _replace_items(self, prefix, page):
+        items = self.items[prefix]
+        for key in set(items) - {item.key for item in page.items}:
+            del items[key]
+            self.listener.on_change(Change(key, page.revision, None))
+        for item in page.items:
+            if items.get(item.key) != item:
+                self._put(prefix, item)
+
     def _position(self, prefix):
         return self.eras[prefix], self.revisions[prefix]
 
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -11,7 +11,13 @@
 from cassiaford.gateway._messages import BackendServer
 from cassiaford.gateway._mirror import MirrorListener
 from cassiaford.gateway._store import Change
-from cassiaford.gateway.policy import FleetRates, Limit, NamedVersions, ServerRegistry
+from cassiaford.gateway.policy import (
+    FleetRates,
+    Limit,
+    NamedVersions,
+    ServerRegistry,
+    VersionSource,
+)
 from cassiaford.logs import Event
 
 
@@ -29,7 +35,8 @@
     """The configuration in force, the backend servers, and the named versions.
 
     `replaced_keys` are the servers whose address another server has taken over
-    before their entries are gone. The gateway sets the callbacks.
+    before their entries are gone. The gateway sets the callbacks, and `is_reading`,
+    which returns whether a change was found by reading a part of the store anew.
     """
 
     def __init__(self, decoder: RecordDecoder, rates: FleetRates, log: EventLog):
@@ -43,6 +50,7 @@
         self.replaced_keys: set[int] = set()
         self._serving: dict[int, BackendServer] = {}
         self.named_versions = NamedVersions()
+        self.is_reading: Callable[[], bool] = lambda: False
         self.on_versions_changed: Callable[[int], None] = lambda key: None
         self.on_own_key_changed: Callable[[Change], None] = lambda change: None
         self.on_server_ended: Callable[[BackendServer], None] = lambda server: None
@@ -97,6 +105,21 @@
             if model in server.versions
         }
 
+    def log_replaced_weights(self, server: BackendServer, model: str) -> None:
+        """Log that a request is sent to a server whose weights were replaced."""
+        version = server.versions.get(model)
+        if version is None:
+            return
+        age_s = self.named_versions.replaced_for_s(model, version, self.now())
+        if age_s > 0.0:
+            self.log.write_sampled(
+                Event.REPLACED_WEIGHTS_USED,
+                server=server.server_id,
+                model=model,
+                weights=version,
+                age_s=round(age_s, 3),
+            )
+
     def _apply(self, change):
         decoder = self.decoder
         if change.key == decoder.configuration_key:
@@ -133,7 +156,18 @@
 
     def _add_version(self, model, version):
         if self.named_versions.add(model, version, self.now()):
-            self.log.write(Event.VERSION_NAMED, model=model, version=version)
+            source = VersionSource.READ if self.is_reading() else VersionSource.SEEN
+            self._log_version(model, version, source)
+
+    def _log_version(self, model, version, source):
+        age_s = self.named_versions.age_s(model, version, self.now())
+        self.log.write(
+            Event.VERSION_NAMED,
+            model=model,
+            version=version,
+            source=source.value,
+            age_s=round(age_s, 3),
+        )
 
     def _apply_server(self, change):
         if change.item is None:
--- a/src/cassiaford/gateway/policy/_named_versions.py
+++ b/src/cassiaford/gateway/policy/_named_versions.py
@@ -1,9 +1,18 @@
 """The versions of weights that operators have named, and when."""
 
+import enum
+
 # Versions stored for each model. Older ones are in place or long overdue.
 MAX_VERSIONS = 64
 
 
+class VersionSource(enum.Enum):
+    """How an instance knows of a version."""
+
+    SEEN = "seen"
+    READ = "read"
+
+
 class NamedVersions:
     """The named versions of each model, with the time since they were replaced.
 
@@ -35,6 +44,10 @@
         versions = self.versions.get(model)
         return versions[-1][0] if versions else 0
 
+    def age_s(self, model: str, version: int, now: float) -> float:
+        """Return the seconds since a version or a newer one was first named."""
+        return self.replaced_for_s(model, version - 1, now)
+
     def replaced_for_s(self, model: str, version: int, now: float) -> float:
         """Return the seconds since a newer version was first named, 0 if none was."""
         for newer, named_at in self.versions.get(model, ()):
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -48,6 +48,7 @@
     REQUEST_FAILED = (1205, Level.WARNING, "request failed after its start")
     REQUEST_RETRIED = (1206, Level.INFO, "request retried")
     CALLER_LEFT = (1207, Level.INFO, "caller closed the connection")
+    REPLACED_WEIGHTS_USED = (1208, Level.INFO, "request sent to replaced weights")
 
     # 13xx: backend servers and streams.
     SERVER_SUSPECTED = (1301, Level.WARNING, "backend server suspected")
