--- /dev/null
+++ b/tests/test_weights_bound.py
@@ -0,0 +1,193 @@
+"""Tests that no request begins on weights that were replaced too long ago."""
+
+import asyncio
+import dataclasses
+import os
+import signal
+import unittest
+
+from cassiaford.gateway import PromptPart, RequestMetadata, StoreError
+from cassiaford.gateway.policy import NamedVersions, Rollout, RolloutServer
+from cassiaford.logs import Event
+from standins.platform_worker import Behaviour
+from tests.platform_case import MODEL, PlatformCase, configuration
+
+# The users' bound: the settings of the tests' gateways.
+WEIGHTS_WITHIN_S = 6.0
+
+
+class ReplacedWeightsTest(PlatformCase):
+    """An engine whose weights are replaced, and an instance that gives no orders."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.store.put("op/config", configuration())
+        self.old = await self.start_worker("i-old", "engine")
+        self.gateway = await self.start_gateway()
+        self.gateway.orderer.stopping = True
+        self.lines = []
+        self.gateway.log.write = lambda event, **details: self.lines.append(
+            (event, details)
+        )
+
+    async def start_new_engine(self):
+        """Start an engine with the newer weights and wait until it is known."""
+        new = await self.start_worker("i-new", "engine")
+        new.versions = {MODEL: 2}
+        await self.register(new)
+        await self.wait_until(lambda: self.key_of(new) is not None)
+        return new
+
+    def key_of(self, worker):
+        """Return the key of a worker whose entry is known with its weights."""
+        for key, server in self.gateway.view.servers["engine"].items():
+            if server.server_id == worker.server_id:
+                return key if server.versions == worker.versions else None
+        return None
+
+    def name_newer(self, age_s):
+        """Let newer weights have been named some time ago."""
+        now = self.gateway.loop.time()
+        self.gateway.view.named_versions.add(MODEL, 2, now - age_s)
+
+    def add_backlog(self, worker, seconds):
+        """Make the gateway assume that an engine has a backlog."""
+        queue = self.gateway.engines._queue(self.key_of(worker))
+        queue.busy_until = self.gateway.loop.time() + seconds
+
+    def chosen_engine(self, route_name):
+        """Return the engine chosen for a prompt of a route, or None."""
+        route = next(
+            r for r in self.gateway.view.configuration.routes if r.name == route_name
+        )
+        metadata = RequestMetadata(
+            "r1",
+            "a.example",
+            model=MODEL,
+            prompt_tokens=1200,
+            output_tokens=10,
+            parts=(PromptPart("aa", 600), PromptPart("bb", 600)),
+        )
+        now = self.gateway.loop.time()
+        choice = self.gateway.placer.choose("engine", metadata, None, set(), route, now)
+        return choice.server.server_id if choice is not None else None
+
+    def causes(self, event):
+        """Return the causes in the log lines of an event."""
+        return [details["cause"] for logged, details in self.lines if logged is event]
+
+    async def test_no_request_is_placed_where_its_queue_ends_after_the_bound(self):
+        new = await self.start_new_engine()
+        self.name_newer(4.5)
+        self.add_backlog(self.old, 2.0)
+        self.add_backlog(new, 4.0)
+        self.assertEqual(self.chosen_engine("mark"), "i-new")
+
+    async def test_an_engine_with_new_weights_is_used_though_others_are_overdue(self):
+        new = await self.start_new_engine()
+        self.name_newer(WEIGHTS_WITHIN_S)
+        # Peers report late that the engine is in use again.
+        self.gateway.placer.out_of_use = frozenset({self.key_of(new)})
+        self.assertEqual(self.chosen_engine("mark"), "i-new")
+
+    async def test_a_failed_call_to_the_store_does_not_end_the_bound(self):
+        self.name_newer(WEIGHTS_WITHIN_S)
+        sync = self.gateway.sync
+        started_at = sync.clock()
+        sync.record_success("another client")
+        sync.record_failure("a client", StoreError("lost"), started_at - 1.0)
+        response = await self.call_engine(self.gateway, "/mark/1")
+        self.assertEqual((response.status, self.old.ran), (503, []))
+
+    async def test_a_broken_connection_to_the_store_does_not_end_the_bound(self):
+        self.name_newer(WEIGHTS_WITHIN_S)
+        sync = self.gateway.sync
+        sync.record_failure("a client", StoreError("lost"), sync.clock())
+        response = await self.call_engine(self.gateway, "/mark/1")
+        self.assertEqual((response.status, self.old.ran), (503, []))
+
+    async def test_a_request_that_waits_at_an_engine_is_withdrawn_before_the_bound(
+        self,
+    ):
+        await self.check_withdrawal(Behaviour.QUEUE)
+
+    async def test_a_stream_without_an_event_is_withdrawn_before_the_bound(self):
+        await self.check_withdrawal(Behaviour.QUEUE_AFTER_HEAD)
+
+    async def check_withdrawal(self, behaviour):
+        """Check that a request does not wait on when newer weights are named."""
+        self.old.behaviours = [behaviour]
+        request = asyncio.create_task(self.call_engine(self.gateway))
+        await self.wait_until(lambda: self.old.queued)
+        new = await self.start_new_engine()
+        self.name_newer(WEIGHTS_WITHIN_S)
+        self.assertEqual((await request).status, 200)
+        self.assertEqual((self.old.ran, len(new.ran)), ([], 1))
+        (cause,) = self.causes(Event.REQUEST_RETRIED)
+        self.assertIn("weights", cause)
+
+    async def test_a_request_that_may_run_only_once_is_not_withdrawn(self):
+        self.old.behaviours = [Behaviour.QUEUE]
+        request = asyncio.create_task(self.call_engine(self.gateway, "/mark/1"))
+        await self.wait_until(lambda: self.old.queued)
+        new = await self.start_new_engine()
+        self.name_newer(WEIGHTS_WITHIN_S)
+        # Longer than the interval at which waiting requests are checked.
+        await asyncio.sleep(0.5)
+        self.old.released.set()
+        self.assertEqual((await request).status, 200)
+        self.assertEqual((len(self.old.ran), new.ran), (1, []))
+
+    async def test_nothing_is_sent_if_the_bound_passes_while_a_connection_opens(self):
+        pool = self.gateway.adapter.pool
+        connect, opened, passed = pool.connect, asyncio.Event(), asyncio.Event()
+
+        async def connect_slowly(address, *arguments):
+            connection = await connect(address, *arguments)
+            if address == self.old.address and not passed.is_set():
+                opened.set()
+                await passed.wait()
+            return connection
+
+        pool.connect = connect_slowly
+        call = asyncio.create_task(self.call_engine(self.gateway, "/mark/1"))
+        await opened.wait()
+        new = await self.start_new_engine()
+        self.name_newer(WEIGHTS_WITHIN_S)
+        passed.set()
+        self.assertEqual((await call).status, 200)
+        self.assertEqual((self.old.calls, len(new.ran)), ([], 1))
+
+    async def test_a_reloaded_bound_is_in_force_for_placement(self):
+        self.name_newer(3.0)
+        shorter = dataclasses.replace(self.gateway.settings, weights_within_s=3.0)
+        self.gateway.reload = lambda: shorter
+        os.kill(os.getpid(), signal.SIGHUP)
+        await self.wait_until(lambda: self.gateway.settings.weights_within_s == 3.0)
+        self.assertIsNone(self.chosen_engine("mark"))
+
+    async def test_an_engine_of_unknown_weights_must_have_the_newest(self):
+        self.old.versions = {}
+        await self.register(self.old)
+        await self.wait_until(lambda: self.key_of(self.old) is not None)
+        self.name_newer(WEIGHTS_WITHIN_S)
+        response = await self.call_engine(self.gateway, "/mark/1")
+        self.assertEqual(self.old.calls[0].headers.get("x-expect-version"), "2")
+        self.assertEqual((response.status, self.old.ran), (503, []))
+
+
+class LastOrdersTest(unittest.TestCase):
+    def test_all_engines_are_ordered_once_none_may_get_requests(self):
+        named = NamedVersions()
+        rollout = Rollout(named, deadline_s=WEIGHTS_WITHIN_S)
+        named.add("m", 2, 0.0)
+        engines = [RolloutServer(n, "m", 1, 0, unstarted=1) for n in range(9)]
+        ordered = set()
+        for step in range(round(10 * WEIGHTS_WITHIN_S)):
+            orders = rollout.plan(engines, step / 10, demand=9.0)
+            ordered |= {order.key for order in orders}
+        self.assertEqual(len(ordered), 9)
+
+
+if __name__ == "__main__":
+    unittest.main()
