--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -177,6 +177,9 @@
         self.peers.revision = lambda: self.mirror.revision
         self.copies = StoreCopies(self.mirror, self.sync, self.adapter.pool, self.log)
         self.peers.on_newer_peer = self.copies.on_newer_peer
+        self.peers.version_ages = self.view.version_ages
+        self.peers.on_version_ages = self.view.update_version_ages
+        self.view.on_version_named = self.peers.report_version
 
     def _create_front(self):
         settings = self.settings
--- a/src/cassiaford/gateway/_peer_codec.py
+++ b/src/cassiaford/gateway/_peer_codec.py
@@ -6,7 +6,7 @@
 
 from cassiaford._schemas import load_schema
 from cassiaford.gateway._store import Item, Page
-from cassiaford.gateway.policy import PeerState, PlacedWork
+from cassiaford.gateway.policy import PeerState, PlacedWork, VersionAge
 from cassiaford.suspects import (
     AnsweredParts,
     ClearedFingerprint,
@@ -18,6 +18,10 @@
 
 _schema = load_schema(__file__, "peers.capnp")
 
+# Fields of 32 and 64 bits.
+MAX_AGE_MS = (1 << 32) - 1
+MAX_VERSION = (1 << 64) - 1
+
 
 class PeerMessageError(ValueError):
     """A message from a peer that cannot be decoded."""
@@ -28,7 +32,8 @@
     """The report that an instance sends to its peers several times a second.
 
     `work`, `out_of_use` and `unreachable` name backend servers by digest,
-    `spending` customers, and `placements` prefixes and engines. `suspicions` are
+    `spending` customers, `placements` prefixes and engines, and `version_ages`
+    models. `suspicions` are
     about the requests that were running on crashed servers. Only a whole
     report has the sender's state and its estimate of the prefill speed; others
     identify the sender by its digest and contain only changes.
@@ -46,6 +51,7 @@
     unreachable: frozenset[int] = frozenset()
     placements: tuple[tuple[int, int], ...] = ()
     suspicions: tuple[Suspicions, ...] = ()
+    version_ages: tuple[VersionAge, ...] = ()
 
     @property
     def whole(self) -> bool:
@@ -88,6 +94,7 @@
         entry.customer = customer
         entry.tokens = tokens
     _encode_suspicions(message, report.suspicions)
+    _encode_version_ages(message, report.version_ages)
     return message.to_bytes_packed()
 
 
@@ -116,6 +123,10 @@
             unreachable=frozenset(message.unreachable),
             placements=tuple((p.unit, p.server) for p in message.placements),
             suspicions=_suspicions(message),
+            version_ages=tuple(
+                VersionAge(v.model, v.version, v.ageMs / 1000)
+                for v in message.versionAges
+            ),
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         raise PeerMessageError(str(error)) from error
@@ -149,6 +160,19 @@
     ]
 
 
+def _encode_version_ages(message, ages):
+    message.versionAges = [
+        {
+            "model": age.model,
+            "version": age.version,
+            # Rounded down: no version may become older on its way.
+            "ageMs": min(int(age.age_s * 1000), MAX_AGE_MS),
+        }
+        for age in ages
+        if 0 <= age.version <= MAX_VERSION
+    ]
+
+
 def _suspicions(message):
     crashes = (
         CrashReport(
--- a/src/cassiaford/gateway/_peers.py
+++ b/src/cassiaford/gateway/_peers.py
@@ -20,6 +20,7 @@
     PeerTable,
     PlacedWork,
     ServicePlacer,
+    VersionAge,
 )
 from cassiaford.logs import Event
 
@@ -68,6 +69,10 @@
         )
         self.peers_out_of_use: dict[str, frozenset[int]] = {}
         self.on_out_of_use: Callable[[], None] = lambda: None
+        self.version_ages: Callable[[], tuple[VersionAge, ...]] = tuple
+        self.on_version_ages: Callable[[tuple[VersionAge, ...]], None] = lambda ages: (
+            None
+        )
         self.customers_by_digest: dict[int, str] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self._sequence = itertools.count(1)
@@ -76,6 +81,7 @@
         self._reported = {}
         self._skipped = 0
         self._unreported_s = 0.0
+        self._version_unreported = False
         self._rounds = itertools.count()
         self._now = asyncio.get_running_loop().time
 
@@ -118,6 +124,11 @@
         if self._unreported_s >= IMMEDIATE_REPORT_WORK_S:
             self.send_report()
 
+    def report_version(self) -> None:
+        """Report immediately that a version was named."""
+        self._version_unreported = True
+        self.send_report()
+
     async def run(self) -> None:
         """Send reports until cancelled."""
         while True:
@@ -140,11 +151,14 @@
             "unreachable": self.unreachable,
         }
         suspicions = tuple(self.crashes.messages(whole))
+        versions = whole or self._version_unreported
         same = current == self._reported and not placements and not suspicions
+        same = same and not versions
         if not whole and same and self._skipped < MAX_SKIPPED_REPORTS:
             self._skipped += 1
             return
         self._skipped = 0
+        self._version_unreported = False
         if not whole:
             work = _changed(work, self._reported.get("work", {}))
             spending = _changed(spending, self._reported.get("spending", {}))
@@ -162,6 +176,7 @@
             unreachable=self.unreachable,
             placements=placements,
             suspicions=suspicions,
+            version_ages=self.version_ages() if versions else (),
         )
         data = encode_report(report)
         for peer in self.table.all():
@@ -221,6 +236,7 @@
         self.on_unreachable(report.unreachable)
         for message in report.suspicions:
             self.crashes.apply(message)
+        self.on_version_ages(report.version_ages)
         if report.revision > self.revision():
             self.on_newer_peer(state, report.revision)
 
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -1,10 +1,12 @@
 """The gateway's view of the store: configuration, backend servers, versions."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 import xxhash
 
+from cassiaford.gateway._clocks import suspended_s
 from cassiaford.gateway._configuration import Configuration, RouteTable
 from cassiaford.gateway._dialect import MalformedError, RecordDecoder
 from cassiaford.gateway._event_log import EventLog
@@ -16,10 +18,16 @@
     Limit,
     NamedVersions,
     ServerRegistry,
+    VersionAge,
     VersionSource,
 )
 from cassiaford.logs import Event
 
+# Smaller corrections of a version's age are not logged.
+MIN_LOGGED_CORRECTION_S = 0.5
+# Peers may know models of which this instance has read nothing yet.
+MAX_UNREAD_MODELS = 64
+
 
 def digest(text: str) -> int:
     """Return the number that represents a name in reports to peers."""
@@ -49,7 +57,9 @@
         self.servers: dict[str, dict[int, BackendServer]] = {}
         self.replaced_keys: set[int] = set()
         self._serving: dict[int, BackendServer] = {}
-        self.named_versions = NamedVersions()
+        self.named_versions = NamedVersions(suspended_s)
+        self._unread_versions = NamedVersions(suspended_s)
+        self.on_version_named: Callable[[], None] = lambda: None
         self.is_reading: Callable[[], bool] = lambda: False
         self.on_versions_changed: Callable[[int], None] = lambda key: None
         self.on_own_key_changed: Callable[[Change], None] = lambda change: None
@@ -105,6 +115,24 @@
             if model in server.versions
         }
 
+    def version_ages(self) -> tuple[VersionAge, ...]:
+        """Return the ages of all named versions, with models as digests."""
+        return tuple(
+            replace(age, model=digest(model))
+            for model in self.named_versions.models
+            for age in self.named_versions.ages(model, self.now())
+        )
+
+    def update_version_ages(self, ages: Iterable[VersionAge]) -> None:
+        """Apply a peer's ages, with models as digests."""
+        models = {digest(model): model for model in self.named_versions.models}
+        for age in ages:
+            if age.model in models:
+                known = replace(age, model=models[age.model])
+                self._update_version_age(known, VersionSource.PEER)
+            else:
+                self._store_unread(age)
+
     def log_replaced_weights(self, server: BackendServer, model: str) -> None:
         """Log that a request is sent to a server whose weights were replaced."""
         version = server.versions.get(model)
@@ -158,6 +186,43 @@
         if self.named_versions.add(model, version, self.now()):
             source = VersionSource.READ if self.is_reading() else VersionSource.SEEN
             self._log_version(model, version, source)
+            for age in self._unread_versions.pop(digest(model), self.now()):
+                known = replace(age, model=model)
+                self._update_version_age(known, VersionSource.PEER)
+            self._retain_versions(model)
+            self.on_version_named()
+
+    def _store_unread(self, age):
+        unread = self._unread_versions
+        if age.model in unread.models or len(unread.models) < MAX_UNREAD_MODELS:
+            unread.add(age.model, age.version, self.now(), age.age_s)
+            unread.retain(age.model, ())
+
+    def _update_version_age(self, age, source):
+        """Take over a greater age of a version; log a large correction."""
+        named, now = self.named_versions, self.now()
+        believed_s = named.age_s(age.model, age.version, now)
+        if age.age_s <= believed_s:
+            return
+        is_newest = named.add(age.model, age.version, now, age.age_s)
+        self._retain_versions(age.model)
+        corrected_by_s = named.age_s(age.model, age.version, now) - believed_s
+        if is_newest:
+            self._log_version(age.model, age.version, source)
+        elif corrected_by_s > MIN_LOGGED_CORRECTION_S:
+            self.log.write(
+                Event.VERSION_AGE_CORRECTED,
+                model=age.model,
+                version=age.version,
+                source=source.value,
+                age_s=round(age.age_s, 3),
+                corrected_by_s=round(corrected_by_s, 3),
+            )
+
+    def _retain_versions(self, model):
+        servers = self.registry.servers.values()
+        in_use = {s.versions[model] for s in servers if model in s.versions}
+        self.named_versions.retain(model, in_use)
 
     def _log_version(self, model, version, source):
         age_s = self.named_versions.age_s(model, version, self.now())
--- a/src/cassiaford/gateway/peers.capnp
+++ b/src/cassiaford/gateway/peers.capnp
@@ -40,6 +40,12 @@
   parts @0 :List(UInt64);    # refused where all of them are in one prompt
 }
 
+struct VersionAge {
+  model @0 :UInt32;          # digest of the model's name
+  version @1 :UInt64;
+  ageMs @2 :UInt32;          # since it was named, as far as the sender knows
+}
+
 # A report that is not whole identifies its sender by digest and contains only
 # what has changed; only whole reports contain the texts.
 struct Report {
@@ -63,6 +69,7 @@
   cleared @17 :List(Cleared);
   refusedParts @18 :List(PartGroup);
   answeredParts @19 :List(UInt64);  # since they were reported with a crash
+  versionAges @20 :List(VersionAge);
 }
 
 # An instance's copy of a part of the store, for a peer whose calls to the store fail.
--- a/src/cassiaford/gateway/policy/__init__.py
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -14,7 +14,11 @@
 from cassiaford.gateway.policy._fleet_rates import FleetRates, Limit
 from cassiaford.gateway.policy._generation import GenerationRequest, Prefix
 from cassiaford.gateway.policy._late_requests import WaitingPrompts, should_wait
-from cassiaford.gateway.policy._named_versions import NamedVersions, VersionSource
+from cassiaford.gateway.policy._named_versions import (
+    NamedVersions,
+    VersionAge,
+    VersionSource,
+)
 from cassiaford.gateway.policy._peer_table import PeerState, PeerTable
 from cassiaford.gateway.policy._registry import ServerRegistry
 from cassiaford.gateway.policy._retry_budget import RetryBudget
@@ -45,6 +49,7 @@
     "ServerHealth",
     "ServerRegistry",
     "ServicePlacer",
+    "VersionAge",
     "VersionSource",
     "WaitingPrompts",
     "should_wait",
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -39,6 +39,7 @@
     SNAPSHOT_WRITTEN = (1106, Level.INFO, "configuration snapshot written")
 
     VERSION_NAMED = (1107, Level.INFO, "version of weights named")
+    VERSION_AGE_CORRECTED = (1109, Level.INFO, "age of a named version corrected")
     PEER_COPY_APPLIED = (1108, Level.INFO, "newer state copied from a peer")
 
     # 12xx: requests.
