--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -42,6 +42,7 @@
     Rollout,
     ServerHealth,
     ServicePlacer,
+    WeightsBound,
 )
 from cassiaford.logs import Event
 from cassiaford.metrics import Metrics
@@ -60,9 +61,6 @@
 # the process exits once no request is in progress, at the latest at the second.
 REFUSE_AFTER_FRACTION = 0.3
 END_FRACTION = 0.84
-# No request may be sent to replaced weights in the last second of the time in which
-# new ones must be in place, since it may wait that long in an engine's queue.
-WEIGHTS_MARGIN_S = 1.0
 
 
 class Gateway:
@@ -112,6 +110,9 @@
         self.rates = FleetRates(self.settings.rate_window_s)
         self.table = PeerTable()
         self.view = View(self.adapter.records, self.rates, self.log)
+        self.weights_bound = WeightsBound(
+            self.view.named_versions, self.settings.weights_within_s
+        )
         self.view.on_versions_changed = self.engines.clear_cached_prefixes
         self.view.on_servers_changed = self._servers_changed
         self.view.on_configuration_changed = self._update_readiness
@@ -126,6 +127,7 @@
         )
         self.mirror = Mirror(sections, self.view)
         self.sync = MirrorSync(self.mirror, self.adapter.store, self.rng, self.log)
+        self.weights_bound.stable_since = self.sync.stable_since
         self.registration = Registration(
             INSTANCES_PREFIX + self.state.name,
             self.state,
@@ -185,10 +187,9 @@
             services=self.services,
             health=self.health,
             data_centre=settings.data_centre,
-            weights_grace_s=settings.weights_within_s - WEIGHTS_MARGIN_S,
+            weights_bound=self.weights_bound,
             rng=self.rng,
         )
-        self.placer.store_reachable_since = self.sync.reachable_since
         self.placer.on_placement = self.peers.record_placement
         self.front = FrontHandler(
             dialect=self.adapter.dialect,
--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -161,6 +161,10 @@
     is false from the first failed call until each failed client has a response.
     An outage ends with the first response to any client, since a watch may wait
     for long before it has one.
+
+    Calls also fail when just their connections are lost or the instance was
+    suspended. Then the next watch returns in time, so `stable_since` counts only
+    outages that have lasted for the shortest lag.
     """
 
     def __init__(
@@ -181,6 +185,9 @@
         self.last_response_at: float | None = None
         self.lost_at: float | None = None
         self.in_outage = False
+        self.last_outage_ended_at = float("-inf")
+        self.outage_began_at = 0.0
+        self.min_outage_s = min(section.max_lag_s for section in mirror.sections)
 
     def age_s(self, prefix: str) -> float | None:
         """Return the seconds since a section was last confirmed, None if never."""
@@ -192,9 +199,9 @@
         """Whether the store has responded to every client's latest call."""
         return self.last_response_at is not None and not self.failing
 
-    def reachable_since(self, moment: float) -> bool:
-        """Return whether the store has been reachable since a time."""
-        return self.reachable and (self.lost_at is None or self.lost_at < moment)
+    def stable_since(self) -> float:
+        """Return when the last outage ended, or the present time during one."""
+        return self.clock() if self._is_long_outage() else self.last_outage_ended_at
 
     async def run(self) -> None:
         """Follow every section until cancelled."""
@@ -248,6 +255,7 @@
         if self.mirror.era:
             self.log.write(Event.KEY_VALUE_RESTORED, era=era)
             self.mirror.listener.on_store_recovered()
+            self.last_outage_ended_at = self.clock()
         self.mirror.era = era
 
     async def _watch(self, section):
@@ -279,6 +287,8 @@
 
     def record_success(self, client: str) -> None:
         """Record the response to a call of a client of the store."""
+        if self._is_long_outage():
+            self.last_outage_ended_at = self.clock()
         self.last_response_at = self.clock()
         if self.in_outage:
             self.in_outage = False
@@ -305,7 +315,12 @@
         self.failing.add(client)
         if not self.in_outage and not self._has_responded_since(started_at):
             self.in_outage = True
+            self.outage_began_at = self.clock()
             self.mirror.listener.on_store_lost()
 
+    def _is_long_outage(self):
+        lasted_s = self.clock() - self.outage_began_at
+        return self.in_outage and lasted_s >= self.min_outage_s
+
     def _has_responded_since(self, moment):
         return self.last_response_at is not None and self.last_response_at > moment
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -18,6 +18,7 @@
     ServerHealth,
     ServicePlacer,
     WaitingPrompts,
+    WeightsBound,
 )
 
 # Responses from replaced weights count for a fifth less from 1.5 s after newer
@@ -29,6 +30,9 @@
 REMOTE_COST_S = 0.03
 # An engine that is about to load new weights will lose its cached prefixes.
 PENDING_LOAD_COST_S = 0.1
+# No request may be sent to replaced weights in the last second of the time in which
+# new ones must be in place, since it may wait that long in an engine's queue.
+WEIGHTS_MARGIN_S = 1.0
 # Memory is assumed to suffice where the configuration does not describe it.
 _DEFAULT_ENGINE = EngineSpec(slots=1, cache_tokens=1 << 40)
 
@@ -56,9 +60,7 @@
 class Placer:
     """Chooses backend servers, and tracks what was sent to them.
 
-    `weights_grace_s` is the time after which no request may start on weights
-    that were replaced. The gateway sets `store_reachable_since`, which returns
-    whether the store has been reachable since a time.
+    `weights_bound` tells until when requests may begin on replaced weights.
     """
 
     def __init__(
@@ -68,7 +70,7 @@
         services: ServicePlacer,
         health: ServerHealth,
         data_centre: str,
-        weights_grace_s: float,
+        weights_bound: WeightsBound,
         rng: random.Random,
     ):
         self.view = view
@@ -76,14 +78,13 @@
         self.services = services
         self.health = health
         self.data_centre = data_centre
-        self.weights_grace_s = weights_grace_s
+        self.weights_bound = weights_bound
         self.rng = rng
         self.decode_times = DecodeTimes()
         self.waiting = WaitingPrompts()
         self.out_of_use: frozenset[int] = frozenset()
         self.unreachable_stores: frozenset[str] = frozenset()
         self.on_placement: Callable[[float], None] = lambda prefill_s: None
-        self.store_reachable_since = lambda since: True
 
     def choose(
         self,
@@ -258,8 +259,9 @@
         return PENDING_LOAD_COST_S if outdated else 0.0
 
     def _weights_overdue(self, server, metadata, now):
-        age = self._replaced_for_s(server, metadata, now)
-        return age > self.weights_grace_s and self.store_reachable_since(now - age)
+        version = server.versions.get(metadata.model)
+        last_start = self.weights_bound.last_start(metadata.model, version, now)
+        return now > last_start - WEIGHTS_MARGIN_S
 
     def _replaced_for_s(self, server, metadata, now):
         """Return the seconds since newer weights than a server's were named."""
--- a/src/cassiaford/gateway/policy/__init__.py
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -21,6 +21,7 @@
 from cassiaford.gateway.policy._rollout import LoadOrder, Rollout, RolloutServer
 from cassiaford.gateway.policy._server_health import ServerHealth
 from cassiaford.gateway.policy._service_placer import PlainServer, ServicePlacer
+from cassiaford.gateway.policy._weights_bound import WeightsBound
 
 __all__ = [
     "BrokenRequest",
@@ -46,5 +47,6 @@
     "ServerRegistry",
     "ServicePlacer",
     "WaitingPrompts",
+    "WeightsBound",
     "should_wait",
 ]
--- a/tests/test_stale_copies.py
+++ b/tests/test_stale_copies.py
@@ -8,7 +8,12 @@
 
 from cassiaford.gateway import Change, Changes, Item, Page, StoreError
 from cassiaford.gateway._event_log import EventLog
-from cassiaford.gateway._mirror import Mirror, MirrorSync, Section
+from cassiaford.gateway._mirror import (
+    MAX_RETRY_DELAY_S,
+    Mirror,
+    MirrorSync,
+    Section,
+)
 from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import FleetRates
 from cassiaford.platform._records import PlatformRecordDecoder
@@ -254,6 +259,77 @@
         self.assertEqual(mirror.revisions["servers/"], 20)
 
 
+class StableTest(unittest.TestCase):
+    """The time since which a store has responded without an outage."""
+
+    def test_lost_connections_are_no_outage(self):
+        async def run():
+            async with running() as (store, instance):
+                for _ in range(20):
+                    store.reset_connections()
+                    await asyncio.sleep(3.7)
+                self.assertEqual(instance.sync.stable_since(), float("-inf"))
+
+        run_in_virtual_time(run())
+
+    def test_the_calls_that_fail_after_a_suspension_are_no_outage(self):
+        async def run():
+            async with running() as (store, instance):
+                # A process that is resumed finds its calls timed out.
+                suspended_at = instance.sync.clock()
+                instance.sync.last_response_at = suspended_at - 1.0
+                for client in ("op/", "servers/", "registration"):
+                    error = StoreError("no response in time")
+                    instance.sync.record_failure(client, error, suspended_at)
+                self.assertTrue(instance.sync.in_outage)
+                await asyncio.sleep(10.0)
+                self.assertEqual(instance.sync.stable_since(), float("-inf"))
+
+        run_in_virtual_time(run())
+
+    def test_the_time_is_the_present_in_an_outage_and_its_end_afterwards(self):
+        async def run():
+            async with running() as (store, instance):
+                store.refusing = True
+                store.reset_connections()
+                await asyncio.sleep(10.0)
+                now = instance.sync.clock()
+                self.assertEqual(instance.sync.stable_since(), now)
+                store.refusing = False
+                await asyncio.sleep(10.0)
+                # The first call that succeeds ends it.
+                delay_s = 1.5 * MAX_RETRY_DELAY_S + 4 * LATENCY_S
+                ended_at = instance.sync.stable_since()
+                self.assertAlmostEqual(ended_at, now, delta=delay_s)
+
+        run_in_virtual_time(run())
+
+    def test_an_outage_goes_on_for_as_long_as_no_call_succeeds(self):
+        async def run():
+            async with running() as (store, instance):
+                store.silent = True
+                await asyncio.sleep(4.0)
+                for _ in range(50):
+                    await asyncio.sleep(0.1)
+                    now = instance.sync.clock()
+                    self.assertEqual(instance.sync.stable_since(), now)
+
+        run_in_virtual_time(run())
+
+    def test_a_store_back_from_an_older_copy_was_away(self):
+        async def run():
+            async with running() as (store, instance):
+                store.restore(store.copy())
+                restored_at = instance.sync.clock()
+                await asyncio.sleep(5.0)
+                stable_since = instance.sync.stable_since()
+                self.assertAlmostEqual(
+                    stable_since, restored_at, delta=CHANGE_IN_FORCE_S
+                )
+
+        run_in_virtual_time(run())
+
+
 class ScheduleTest(unittest.TestCase):
     """Random series of faults, changes and copies from a peer."""
 
