--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -295,7 +295,10 @@
                 f" {job.expected_first_token_s:.2f} s,"
                 f" the request's deadline is in {job.deadline - now:.2f} s"
             )
-        return "; the others have no free capacity"
+        return (
+            "; the others have no free capacity, or would start the request too late"
+            " on replaced weights"
+        )
 
     def _retry_after_s(self, wait_s):
         return (MIN_RETRY_AFTER_S + wait_s) * (1.0 + self.context.rng.random())
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -30,9 +30,8 @@
 REMOTE_COST_S = 0.03
 # An engine that is about to load new weights will lose its cached prefixes.
 PENDING_LOAD_COST_S = 0.1
-# No request may be sent to replaced weights in the last second of the time in which
-# new ones must be in place, since it may wait that long in an engine's queue.
-WEIGHTS_MARGIN_S = 1.0
+# Under load a request may start this much later than expected.
+START_MARGIN_S = 1.0
 # Memory is assumed to suffice where the configuration does not describe it.
 _DEFAULT_ENGINE = EngineSpec(slots=1, cache_tokens=1 << 40)
 
@@ -209,6 +208,7 @@
                 self._new_prefix_cost(server, metadata, now),
                 server.versions.get(metadata.model, 0),
                 spec.link_bytes_per_s / spec.token_bytes if spec.token_bytes else 0.0,
+                self._last_start(server, metadata, now) - START_MARGIN_S,
             )
             for key, server in (in_use or servers).items()
             if not self._weights_overdue(server, metadata, now)
@@ -259,9 +259,12 @@
         return PENDING_LOAD_COST_S if outdated else 0.0
 
     def _weights_overdue(self, server, metadata, now):
+        return now > self._last_start(server, metadata, now) - START_MARGIN_S
+
+    def _last_start(self, server, metadata, now):
+        """Return until when a request may begin on a server's weights."""
         version = server.versions.get(metadata.model)
-        last_start = self.weights_bound.last_start(metadata.model, version, now)
-        return now > last_start - WEIGHTS_MARGIN_S
+        return self.weights_bound.last_start(metadata.model, version, now)
 
     def _replaced_for_s(self, server, metadata, now):
         """Return the seconds since newer weights than a server's were named."""
--- a/src/cassiaford/gateway/policy/_engine_placer.py
+++ b/src/cassiaford/gateway/policy/_engine_placer.py
@@ -57,7 +57,8 @@
 
     `cost_s` counts for every request, `new_prefix_cost_s` only for placement
     prefixes that the engine does not cache. Cached prefixes belong to one
-    `version` of the weights and are fetched at `fetch_tokens_per_s`.
+    `version` of the weights and are fetched at `fetch_tokens_per_s`. Requests
+    must be expected to start there by `start_by`.
     """
 
     key: Hashable
@@ -68,6 +69,7 @@
     new_prefix_cost_s: float = 0.0
     version: int = 0
     fetch_tokens_per_s: float = 0.0
+    start_by: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -123,7 +125,9 @@
         rng: random.Random,
         versions: Mapping[Hashable, int] | None = None,
     ) -> Placement | None:
-        """Return the placement with the least cost, or None if no engine has room.
+        """Return the placement with the least cost.
+
+        It is None if no engine has room or none would start the request in time.
 
         `versions` gives the weights of the engines that may cache prefixes, if
         these are not just the engines that may take the request.
@@ -277,6 +281,8 @@
         if running >= view.slots:
             queue_s += SLOT_WAIT_S * (1 + (running - view.slots) / view.slots)
         first_s = FIRST_TOKEN_LATENCY_S + queue_s + prefill_s
+        if now + first_s > view.start_by:
+            return 0.0, None
         cost = first_s + view.cost_s + rank * RANK_COST_S
         if request.target_s:
             late_s = first_s - ON_TIME_FRACTION * request.target_s
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -100,6 +100,15 @@
         self.assertEqual(self.place(request_metadata(1, 12_000, 900), DIGEST, 10.0), 1)
         self.assertEqual(self.place(request_metadata(2, 6000, 900), DIGEST, 10.01), 1)
 
+    def test_a_request_is_placed_on_replaced_weights_while_it_starts_in_time(self):
+        self.placer.view.servers["engine"].pop(1)
+        for tenth in range(100, 200):
+            now = tenth / 10
+            request = request_metadata(tenth, 30_000, 10)
+            choice = self.placer.choose("engine", request, None, set(), TAG, now)
+            # Half a second for its own 30,000 tokens, one for the margin.
+            self.assertEqual(choice is None, now > 18.4, f"at {now}")
+
 
 if __name__ == "__main__":
     unittest.main()
