--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -17,6 +17,7 @@
 from cassiaford.gateway._placer import Choice, urgency_of
 from cassiaford.gateway._server_chooser import ServerChooser
 from cassiaford.gateway._server_connection import ExchangeError
+from cassiaford.gateway._start_limit import start_limit
 from cassiaford.logs import Event
 from cassiaford.verdict import Failure, Refusal, RefusalReason, Verdict, refuse
 
@@ -119,7 +120,10 @@
             is_serving=lambda: self.context.view.is_serving(job.service, choice.key),
         )
         try:
-            async with asyncio.timeout(self._response_timeout_s()):
+            async with (
+                asyncio.timeout(self._response_timeout_s()),
+                self._start_limit(choice),
+            ):
                 response = await send
         except TimeoutError as error:
             raise ExchangeError(Failure.FIRST_BYTE_TIMEOUT) from error
@@ -184,7 +188,9 @@
         # A stream that cannot resume on another server has no idle timeout.
         idle_timeout_s = STREAM_IDLE_TIMEOUT_S if job.route.resumable else None
         first_event_at = last_event_at = None
-        while events := await reader.next(idle_timeout_s):
+        async with self._start_limit(choice):
+            events = await reader.next(idle_timeout_s)
+        while events:
             now = self.loop.time()
             if first_event_at is None:
                 first_event_at = now
@@ -196,6 +202,7 @@
             last_event_at = now
             self._send_events(response, events)
             await job.connection.drain()
+            events = await reader.next(idle_timeout_s)
         if first_event_at is not None:
             self.context.placer.record_response(
                 job.route, first_event_at, self.loop.time()
@@ -231,7 +238,7 @@
             self.context.view.record_replacement(choice.server)
         if error.failure is Failure.NOT_STARTED:
             self.context.placer.record_rejection(choice, job.metadata, now)
-        elif error.failure is Failure.SERVER_LEFT:
+        elif not attempt.sent and error.failure in _SERVER_CHANGES:
             return _AttemptOutcome.RETRY
         elif not attempt.sent:
             self.context.prober.record_unreachable(choice.server)
@@ -239,6 +246,8 @@
             if not attempt.has_response:
                 job.runs += 1
             job.verdict = Verdict.MAY_HAVE_RUN
+            if error.failure is Failure.WITHDRAWN:
+                return _AttemptOutcome.RETRY
             self.context.health.record_failure(choice.key, now)
             if error.failure is Failure.RESET_BEFORE_RESPONSE:
                 self.context.prober.record_unreachable(choice.server)
@@ -251,6 +260,13 @@
                     await self.context.prober.first_result(choice.server)
         return _AttemptOutcome.RETRY
 
+    def _start_limit(self, choice):
+        """Return the limit on the time until the request begins at its server."""
+        placer, metadata = self.context.placer, self.job.metadata
+        return start_limit(
+            lambda: placer.withdraw_at(choice, metadata, self.loop.time())
+        )
+
     def _response_timeout_s(self):
         """Return the timeout for the response's head, or None for no timeout."""
         job = self.job
@@ -351,4 +367,6 @@
         Failure.IDLE_TIMEOUT,
     }
 )
+# Nothing is wrong with a server that left or whose weights were replaced.
+_SERVER_CHANGES = frozenset({Failure.SERVER_LEFT, Failure.WITHDRAWN})
 _NOT_RUN_FAILURES = frozenset(f for f in Failure if f.verdict is Verdict.NOT_RUN)
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -1,5 +1,6 @@
 """The choice of a backend server for each attempt."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -30,8 +31,12 @@
 REMOTE_COST_S = 0.03
 # An engine that is about to load new weights will lose its cached prefixes.
 PENDING_LOAD_COST_S = 0.1
-# Under load a request may start this much later than expected.
+# Under load a request may start this much later than expected. One that may be
+# withdrawn from replaced weights needs less time than one that may not.
 START_MARGIN_S = 1.0
+WITHDRAWABLE_START_MARGIN_S = 0.5
+# Time until an engine notices that a request was withdrawn.
+WITHDRAWAL_MARGIN_S = 0.25
 # Memory is assumed to suffice where the configuration does not describe it.
 _DEFAULT_ENGINE = EngineSpec(slots=1, cache_tokens=1 << 40)
 
@@ -41,7 +46,8 @@
     """The backend server chosen for one attempt.
 
     It fetches cached prefixes from the address `fetch_from` and saves them to
-    `save_to`.
+    `save_to`. `may_withdraw` is whether another server may run the request after
+    it was withdrawn from this one.
     """
 
     key: int
@@ -49,6 +55,7 @@
     placement: Placement | None = None
     fetch_from: str | None = None
     save_to: str | None = None
+    may_withdraw: bool = False
 
     @property
     def first_token_s(self) -> float:
@@ -93,15 +100,21 @@
         tried: set[int],
         route: Route,
         now: float,
+        may_withdraw: bool = False,
     ) -> Choice | None:
-        """Return the best usable backend server of a service, or None."""
+        """Return the best usable backend server of a service, or None.
+
+        `may_withdraw` is whether the request may run again after it was sent.
+        """
         servers = {
             key: server
             for key, server in self._reachable(service, now).items()
             if key not in tried
         }
         if metadata.is_generation:
-            return self._choose_engine(servers, metadata, customer, route, now)
+            return self._choose_engine(
+                servers, metadata, customer, route, now, may_withdraw
+            )
         plain = [
             PlainServer(
                 key,
@@ -116,6 +129,15 @@
             return None
         return Choice(chosen.key, servers[chosen.key])
 
+    def withdraw_at(
+        self, choice: Choice, metadata: RequestMetadata, now: float
+    ) -> float:
+        """Return when to withdraw a request that has not begun by then."""
+        if not choice.may_withdraw:
+            return math.inf
+        last_start = self._last_start(choice.server, metadata, now)
+        return last_start - WITHDRAWAL_MARGIN_S
+
     def waiting_prefill_s(self, service: str, instances: int, now: float) -> float:
         """Return the prefill work per engine that waits at all instances."""
         if not self.waiting.prefill_s:
@@ -179,7 +201,8 @@
         servers = self.view.servers.get(service, {})
         backing_off = sum(self.health.is_backing_off(key, now) for key in servers)
         outdated = sum(
-            self._weights_overdue(s, metadata, now) for s in servers.values()
+            now > self._last_start(s, metadata, now) - START_MARGIN_S
+            for s in servers.values()
         )
         return (
             f"of {len(servers)} servers {len(tried & set(servers))} were tried,"
@@ -193,7 +216,8 @@
             k: s for k, s in servers.items() if not self.health.is_backing_off(k, now)
         }
 
-    def _choose_engine(self, servers, metadata, customer, route, now):
+    def _choose_engine(self, servers, metadata, customer, route, now, may_withdraw):
+        margin_s = WITHDRAWABLE_START_MARGIN_S if may_withdraw else START_MARGIN_S
         spec = _engine_spec(self.view.configuration, servers)
         in_use = {key: s for key, s in servers.items() if key not in self.out_of_use}
         views = [
@@ -208,10 +232,10 @@
                 self._new_prefix_cost(server, metadata, now),
                 server.versions.get(metadata.model, 0),
                 spec.link_bytes_per_s / spec.token_bytes if spec.token_bytes else 0.0,
-                self._last_start(server, metadata, now) - START_MARGIN_S,
+                self._last_start(server, metadata, now) - margin_s,
             )
             for key, server in (in_use or servers).items()
-            if not self._weights_overdue(server, metadata, now)
+            if now <= self._last_start(server, metadata, now) - margin_s
         ]
         request = self._generation(metadata, customer, route.target_latency_s)
         versions = {
@@ -220,9 +244,9 @@
         placement = self.engines.place(request, views, now, self.rng, versions)
         if placement is None:
             return None
-        return self._engine_choice(placement, servers)
+        return self._engine_choice(placement, servers, may_withdraw)
 
-    def _engine_choice(self, placement, servers):
+    def _engine_choice(self, placement, servers, may_withdraw):
         """Return a choice with the addresses to fetch prefixes from and save to."""
         server = servers[placement.engine.key]
         store = self._prefix_store()
@@ -233,6 +257,7 @@
             placement,
             fetch_from=source.address if source is not None else store,
             save_to=store if placement.save else None,
+            may_withdraw=may_withdraw,
         )
 
     def _prefix_store(self):
@@ -258,9 +283,6 @@
         outdated = self._replaced_for_s(server, metadata, now) > 0.0
         return PENDING_LOAD_COST_S if outdated else 0.0
 
-    def _weights_overdue(self, server, metadata, now):
-        return now > self._last_start(server, metadata, now) - START_MARGIN_S
-
     def _last_start(self, server, metadata, now):
         """Return until when a request may begin on a server's weights."""
         version = server.versions.get(metadata.model)
--- a/src/cassiaford/gateway/_server_chooser.py
+++ b/src/cassiaford/gateway/_server_chooser.py
@@ -69,9 +69,20 @@
     def _best_choice(self, now):
         job = self.job
         return self.context.placer.choose(
-            job.service, job.metadata, job.customer, job.tried_servers, job.route, now
+            job.service,
+            job.metadata,
+            job.customer,
+            job.tried_servers,
+            job.route,
+            now,
+            self._may_withdraw(now),
         )
 
+    def _may_withdraw(self, now):
+        """Return whether the request may be sent elsewhere after its next run."""
+        budget = self.context.budgets[self.job.service]
+        return self.job.has_more_runs and budget.allows(now, self.instances)
+
     def _misses_deadline(self, choice, now):
         """Return whether the deadline passes before the expected first token."""
         return now + choice.first_token_s > self.job.deadline
--- a/src/cassiaford/verdict/_failure.py
+++ b/src/cassiaford/verdict/_failure.py
@@ -38,6 +38,11 @@
         Verdict.NOT_RUN,
         RefusalReason.RETRIES_EXHAUSTED,
     )
+    WITHDRAWN = (
+        "withdrawn unstarted, since newer weights must be in use by now",
+        Verdict.MAY_HAVE_RUN,
+        RefusalReason.BACKEND_FAILED,
+    )
     SEND_FAILED = (
         "the connection broke while the request was sent",
         Verdict.MAY_HAVE_RUN,
--- a/tests/test_weights_bound.py
+++ b/tests/test_weights_bound.py
@@ -2,15 +2,20 @@
 
 import asyncio
 import dataclasses
+import math
 import os
 import signal
 import unittest
 
 from cassiaford.gateway import PromptPart, RequestMetadata, StoreError
+from cassiaford.gateway._server_connection import ExchangeError
+from cassiaford.gateway._start_limit import start_limit
 from cassiaford.gateway.policy import NamedVersions, Rollout, RolloutServer
 from cassiaford.logs import Event
+from cassiaford.verdict import Failure
 from standins.platform_worker import Behaviour
 from tests.platform_case import MODEL, PlatformCase, configuration
+from tests.virtual_time import run_in_virtual_time
 
 # The users' bound: the settings of the tests' gateways.
 WEIGHTS_WITHIN_S = 6.0
@@ -176,6 +181,48 @@
         self.assertEqual((response.status, self.old.ran), (503, []))
 
 
+class StartLimitTest(unittest.TestCase):
+    """The limit on the time until a request begins, in virtual time."""
+
+    def run_limited(self, limit_at, needed_s):
+        """Return when a wait ended, and whether it was withdrawn."""
+
+        async def run():
+            now = asyncio.get_running_loop().time
+            try:
+                async with start_limit(lambda: limit_at(now())):
+                    await asyncio.sleep(needed_s)
+            except ExchangeError as error:
+                self.assertIs(error.failure, Failure.WITHDRAWN)
+                return now(), True
+            return now(), False
+
+        return run_in_virtual_time(run())
+
+    def test_a_request_is_withdrawn_at_the_limit(self):
+        self.assertEqual(self.run_limited(lambda now: 1.1, 3.0), (1.1, True))
+        self.assertEqual(self.run_limited(lambda now: 1.1, 1.0), (1.0, False))
+
+    def test_a_limit_that_is_set_while_a_request_waits_counts(self):
+        def limit_at(now):
+            return 2.1 if now >= 1.4 else math.inf
+
+        self.assertEqual(self.run_limited(limit_at, 3.0), (2.1, True))
+
+    def test_a_limit_may_move_on_while_a_request_waits(self):
+        # In an outage the limit is always some time ahead.
+        ended_at, withdrawn = self.run_limited(lambda now: min(now, 5.0) + 1.0, 20.0)
+        self.assertEqual((ended_at, withdrawn), (6.0, True))
+
+    def test_another_time_limit_is_not_a_withdrawal(self):
+        async def run():
+            async with asyncio.timeout(1.0), start_limit(lambda: 2.0):
+                await asyncio.sleep(3.0)
+
+        with self.assertRaises(TimeoutError):
+            run_in_virtual_time(run())
+
+
 class LastOrdersTest(unittest.TestCase):
     def test_all_engines_are_ordered_once_none_may_get_requests(self):
         named = NamedVersions()
