--- a/src/cassiaford/gateway/_attempt.py
+++ b/src/cassiaford/gateway/_attempt.py
@@ -89,19 +89,19 @@
         attempt_id: str,
         *,
         single_run: bool,
-        is_serving: Callable[[], bool],
+        unusable: Callable[[], Failure | None],
     ) -> ServerResponse:
         """Send the request and return the response with its validated head.
 
         With `single_run`, which stands for a request that may not run again, the
-        connection is a new one. `is_serving` returns whether the server still
-        takes requests once there is a connection. Raises `ExchangeError` if there
-        is no response to relay.
+        connection is a new one. `unusable` returns why the server may not get the
+        request any more once there is a connection, or None. Raises
+        `ExchangeError` if there is no response to relay.
         """
         connect = self.pool.acquire_new if single_run else self.pool.acquire
         self.connection = await connect(self.address)
-        if not is_serving():
-            raise ExchangeError(Failure.SERVER_LEFT)
+        if (failure := unusable()) is not None:
+            raise ExchangeError(failure)
         # Connecting may have taken a part of the time.
         time_left_s = self.deadline - asyncio.get_running_loop().time()
         forwarding = replace(self.forwarding, time_left_s=time_left_s)
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -117,7 +117,7 @@
             job.request,
             job.metadata.attempt_id,
             single_run=not job.has_more_runs,
-            is_serving=lambda: self.context.view.is_serving(job.service, choice.key),
+            unusable=lambda: self._unusable(choice),
         )
         try:
             async with (
@@ -260,6 +260,15 @@
                     await self.context.prober.first_result(choice.server)
         return _AttemptOutcome.RETRY
 
+    def _unusable(self, choice):
+        """Return why a chosen server may not get the request any more, or None."""
+        if not self.context.view.is_serving(self.job.service, choice.key):
+            return Failure.SERVER_LEFT
+        placer, now = self.context.placer, self.loop.time()
+        if now > placer.send_by(choice, self.job.metadata, now):
+            return Failure.WEIGHTS_REPLACED
+        return None
+
     def _start_limit(self, choice):
         """Return the limit on the time until the request begins at its server."""
         placer, metadata = self.context.placer, self.job.metadata
@@ -368,5 +377,7 @@
     }
 )
 # Nothing is wrong with a server that left or whose weights were replaced.
-_SERVER_CHANGES = frozenset({Failure.SERVER_LEFT, Failure.WITHDRAWN})
+_SERVER_CHANGES = frozenset(
+    {Failure.SERVER_LEFT, Failure.WEIGHTS_REPLACED, Failure.WITHDRAWN}
+)
 _NOT_RUN_FAILURES = frozenset(f for f in Failure if f.verdict is Verdict.NOT_RUN)
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -129,6 +129,14 @@
             return None
         return Choice(chosen.key, servers[chosen.key])
 
+    def send_by(self, choice: Choice, metadata: RequestMetadata, now: float) -> float:
+        """Return until when a request may be sent, so that it begins in time."""
+        if choice.placement is None:
+            return math.inf
+        margin_s = _start_margin_s(choice.may_withdraw)
+        last_start = self._last_start(choice.server, metadata, now)
+        return last_start - choice.first_token_s - margin_s
+
     def withdraw_at(
         self, choice: Choice, metadata: RequestMetadata, now: float
     ) -> float:
@@ -217,7 +225,7 @@
         }
 
     def _choose_engine(self, servers, metadata, customer, route, now, may_withdraw):
-        margin_s = WITHDRAWABLE_START_MARGIN_S if may_withdraw else START_MARGIN_S
+        margin_s = _start_margin_s(may_withdraw)
         spec = _engine_spec(self.view.configuration, servers)
         in_use = {key: s for key, s in servers.items() if key not in self.out_of_use}
         views = [
@@ -313,6 +321,10 @@
         )
 
 
+def _start_margin_s(may_withdraw):
+    return WITHDRAWABLE_START_MARGIN_S if may_withdraw else START_MARGIN_S
+
+
 def _engine_spec(configuration, servers):
     for server in servers.values():
         service = configuration.services.get(server.service)
--- a/src/cassiaford/verdict/_failure.py
+++ b/src/cassiaford/verdict/_failure.py
@@ -23,6 +23,11 @@
         Verdict.NOT_RUN,
         RefusalReason.RETRIES_EXHAUSTED,
     )
+    WEIGHTS_REPLACED = (
+        "the engine's weights were replaced too long ago to send it the request",
+        Verdict.NOT_RUN,
+        RefusalReason.RETRIES_EXHAUSTED,
+    )
     UNSENDABLE = (
         "the request cannot be written as HTTP",
         Verdict.NOT_RUN,
