--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -1,5 +1,6 @@
 """The choice of a backend server for each attempt."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
     ServerHealth,
     ServicePlacer,
     WaitingPrompts,
+    WeightsBound,
 )
 
 # Responses from replaced weights count for a fifth less from 1.5 s after newer
@@ -29,6 +31,12 @@
 REMOTE_COST_S = 0.03
 # An engine that is about to load new weights will lose its cached prefixes.
 PENDING_LOAD_COST_S = 0.1
+# Under load a request may start this much later than expected. One that may be
+# withdrawn from replaced weights needs less time than one that may not.
+START_MARGIN_S = 1.0
+WITHDRAWABLE_START_MARGIN_S = 0.5
+# Time until an engine notices that a request was withdrawn.
+WITHDRAWAL_MARGIN_S = 0.25
 # Memory is assumed to suffice where the configuration does not describe it.
 _DEFAULT_ENGINE = EngineSpec(slots=1, cache_tokens=1 << 40)
 
@@ -38,7 +46,8 @@
     """The backend server chosen for one attempt.
 
     It fetches cached prefixes from the address `fetch_from` and saves them to
-    `save_to`.
+    `save_to`. `may_withdraw` is whether another server may run the request after
+    it was withdrawn from this one.
     """
 
     key: int
@@ -46,6 +55,7 @@
     placement: Placement | None = None
     fetch_from: str | None = None
     save_to: str | None = None
+    may_withdraw: bool = False
 
     @property
     def first_token_s(self) -> float:
@@ -56,9 +66,7 @@
 class Placer:
     """Chooses backend servers, and tracks what was sent to them.
 
-    `weights_grace_s` is the time after which no request may start on weights
-    that were replaced. The gateway sets `store_reachable_since`, which returns
-    whether the store has been reachable since a time.
+    `weights_bound` tells until when requests may begin on replaced weights.
     """
 
     def __init__(
@@ -68,7 +76,7 @@
         services: ServicePlacer,
         health: ServerHealth,
         data_centre: str,
-        weights_grace_s: float,
+        weights_bound: WeightsBound,
         rng: random.Random,
     ):
         self.view = view
@@ -76,14 +84,13 @@
         self.services = services
         self.health = health
         self.data_centre = data_centre
-        self.weights_grace_s = weights_grace_s
+        self.weights_bound = weights_bound
         self.rng = rng
         self.decode_times = DecodeTimes()
         self.waiting = WaitingPrompts()
         self.out_of_use: frozenset[int] = frozenset()
         self.unreachable_stores: frozenset[str] = frozenset()
         self.on_placement: Callable[[float], None] = lambda prefill_s: None
-        self.store_reachable_since = lambda since: True
 
     def choose(
         self,
@@ -93,15 +100,21 @@
         tried: set[int],
         route: Route,
         now: float,
+        may_withdraw: bool = False,
     ) -> Choice | None:
-        """Return the best usable backend server of a service, or None."""
+        """Return the best usable backend server of a service, or None.
+
+        `may_withdraw` is whether the request may run again after it was sent.
+        """
         servers = {
             key: server
             for key, server in self._reachable(service, now).items()
             if key not in tried
         }
         if metadata.is_generation:
-            return self._choose_engine(servers, metadata, customer, route, now)
+            return self._choose_engine(
+                servers, metadata, customer, route, now, may_withdraw
+            )
         plain = [
             PlainServer(
                 key,
@@ -116,6 +129,23 @@
             return None
         return Choice(chosen.key, servers[chosen.key])
 
+    def send_by(self, choice: Choice, metadata: RequestMetadata, now: float) -> float:
+        """Return until when a request may be sent, so that it begins in time."""
+        if choice.placement is None:
+            return math.inf
+        margin_s = _start_margin_s(choice.may_withdraw)
+        last_start = self._last_start(choice.server, metadata, now)
+        return last_start - choice.first_token_s - margin_s
+
+    def withdraw_at(
+        self, choice: Choice, metadata: RequestMetadata, now: float
+    ) -> float:
+        """Return when to withdraw a request that has not begun by then."""
+        if not choice.may_withdraw:
+            return math.inf
+        last_start = self._last_start(choice.server, metadata, now)
+        return last_start - WITHDRAWAL_MARGIN_S
+
     def waiting_prefill_s(self, service: str, instances: int, now: float) -> float:
         """Return the prefill work per engine that waits at all instances."""
         if not self.waiting.prefill_s:
@@ -179,7 +209,8 @@
         servers = self.view.servers.get(service, {})
         backing_off = sum(self.health.is_backing_off(key, now) for key in servers)
         outdated = sum(
-            self._weights_overdue(s, metadata, now) for s in servers.values()
+            now > self._last_start(s, metadata, now) - START_MARGIN_S
+            for s in servers.values()
         )
         return (
             f"of {len(servers)} servers {len(tried & set(servers))} were tried,"
@@ -193,7 +224,8 @@
             k: s for k, s in servers.items() if not self.health.is_backing_off(k, now)
         }
 
-    def _choose_engine(self, servers, metadata, customer, route, now):
+    def _choose_engine(self, servers, metadata, customer, route, now, may_withdraw):
+        margin_s = _start_margin_s(may_withdraw)
         spec = _engine_spec(self.view.configuration, servers)
         in_use = {key: s for key, s in servers.items() if key not in self.out_of_use}
         views = [
@@ -208,9 +240,10 @@
                 self._new_prefix_cost(server, metadata, now),
                 server.versions.get(metadata.model, 0),
                 spec.link_bytes_per_s / spec.token_bytes if spec.token_bytes else 0.0,
+                self._last_start(server, metadata, now) - margin_s,
             )
             for key, server in (in_use or servers).items()
-            if not self._weights_overdue(server, metadata, now)
+            if now <= self._last_start(server, metadata, now) - margin_s
         ]
         request = self._generation(metadata, customer, route.target_latency_s)
         versions = {
@@ -219,9 +252,9 @@
         placement = self.engines.place(request, views, now, self.rng, versions)
         if placement is None:
             return None
-        return self._engine_choice(placement, servers)
+        return self._engine_choice(placement, servers, may_withdraw)
 
-    def _engine_choice(self, placement, servers):
+    def _engine_choice(self, placement, servers, may_withdraw):
         """Return a choice with the addresses to fetch prefixes from and save to."""
         server = servers[placement.engine.key]
         store = self._prefix_store()
@@ -232,6 +265,7 @@
             placement,
             fetch_from=source.address if source is not None else store,
             save_to=store if placement.save else None,
+            may_withdraw=may_withdraw,
         )
 
     def _prefix_store(self):
@@ -257,9 +291,10 @@
         outdated = self._replaced_for_s(server, metadata, now) > 0.0
         return PENDING_LOAD_COST_S if outdated else 0.0
 
-    def _weights_overdue(self, server, metadata, now):
-        age = self._replaced_for_s(server, metadata, now)
-        return age > self.weights_grace_s and self.store_reachable_since(now - age)
+    def _last_start(self, server, metadata, now):
+        """Return until when a request may begin on a server's weights."""
+        version = server.versions.get(metadata.model)
+        return self.weights_bound.last_start(metadata.model, version, now)
 
     def _replaced_for_s(self, server, metadata, now):
         """Return the seconds since newer weights than a server's were named."""
@@ -286,6 +321,10 @@
         )
 
 
+def _start_margin_s(may_withdraw):
+    return WITHDRAWABLE_START_MARGIN_S if may_withdraw else START_MARGIN_S
+
+
 def _engine_spec(configuration, servers):
     for server in servers.values():
         service = configuration.services.get(server.service)
