--- a/src/cassiaford/gateway/_clocks.py
+++ b/src/cassiaford/gateway/_clocks.py
@@ -4,6 +4,8 @@
 
 # A smaller gain of the boot clock on the monotonic clock is not a suspension.
 MIN_SUSPENSION_S = 0.3
+# Two clocks that were read within this time were read at the same time.
+MAX_READING_S = 0.001
 
 
 def boot_time() -> float:
@@ -13,7 +15,13 @@
 
 def suspended_s() -> float:
     """Return for how long the machine was suspended since its start."""
-    return boot_time() - time.monotonic()
+    while True:
+        started_at = time.monotonic()
+        total_s = boot_time()
+        ended_at = time.monotonic()
+        # A process that stood still between the clocks would count that too.
+        if ended_at - started_at < MAX_READING_S:
+            return total_s - ended_at
 
 
 class SuspensionWatch:
