--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -24,6 +24,7 @@
     ORDERER_KEY,
     OWN_PREFIX,
     SUSPECTS_PREFIX,
+    VERSIONS_PREFIX,
     OwnKeys,
 )
 from cassiaford.gateway._peers import PeerReports
@@ -33,6 +34,7 @@
 from cassiaford.gateway._registration import Registration
 from cassiaford.gateway._settings import GatewaySettings
 from cassiaford.gateway._tasks import run_with_restarts
+from cassiaford.gateway._version_terms import VersionTerms
 from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import (
     EnginePlacer,
@@ -145,6 +147,15 @@
             sync=self.sync,
             log=self.log,
         )
+        self.terms = VersionTerms(
+            VERSIONS_PREFIX,
+            self.settings.weights_within_s - WEIGHTS_MARGIN_S,
+            self.view,
+            self.adapter.store,
+            self.sync,
+        )
+        self.terms.may_write = lambda: self.orderer.holds_lease
+        self.terms.is_complete = lambda: self.mirror.complete
         self.orderer.running_tokens = self.engines.running_tokens
         self.orderer.unstarted = self.engines.unstarted
         self.orderer.demand = self.engines.demand
@@ -165,7 +176,12 @@
         )
         self.crashes.on_crash = self.peers.send_report
         self.view.on_own_key_changed = OwnKeys(
-            self.table, self.registration, self.orderer, self.crashes, self.log
+            self.table,
+            self.registration,
+            self.orderer,
+            self.crashes,
+            self.terms,
+            self.log,
         ).on_change
         self.prober = ServerProber(self.view, self.health, self.adapter.pool, self.log)
         self.prober.on_refused = self.crashes.record_server_end
@@ -231,6 +247,7 @@
             self.sync.run,
             self.registration.run,
             self.orderer.run,
+            self.terms.run,
             self.peers.run,
             self.crashes.run,
             self.store_prober.run,
--- a/src/cassiaford/gateway/_own_keys.py
+++ b/src/cassiaford/gateway/_own_keys.py
@@ -7,6 +7,7 @@
 from cassiaford.gateway._orders import Orderer
 from cassiaford.gateway._registration import Registration, decode_entry
 from cassiaford.gateway._store import Change
+from cassiaford.gateway._version_terms import VersionTerms
 from cassiaford.gateway.policy import PeerTable
 from cassiaford.logs import Event
 
@@ -14,6 +15,7 @@
 INSTANCES_PREFIX = OWN_PREFIX + "instances/"
 ORDERER_KEY = OWN_PREFIX + "orderer"
 SUSPECTS_PREFIX = OWN_PREFIX + "suspects/"
+VERSIONS_PREFIX = OWN_PREFIX + "versions/"
 
 
 class OwnKeys:
@@ -25,12 +27,14 @@
         registration: Registration,
         orderer: Orderer,
         crashes: CrashMonitor,
+        terms: VersionTerms,
         log: EventLog,
     ):
         self.table = table
         self.registration = registration
         self.orderer = orderer
         self.crashes = crashes
+        self.terms = terms
         self.log = log
         self._now = asyncio.get_running_loop().time
 
@@ -41,6 +45,8 @@
                 self.orderer.on_key_changed(change.item is not None)
             elif change.key.startswith(SUSPECTS_PREFIX):
                 self.crashes.apply_change(change)
+            elif change.key.startswith(VERSIONS_PREFIX):
+                self.terms.on_change(change)
             elif change.key == self.registration.key:
                 if change.item is None:
                     self.registration.on_entry_removed()
--- a/src/cassiaford/gateway/_peer_codec.py
+++ b/src/cassiaford/gateway/_peer_codec.py
@@ -124,7 +124,7 @@
             placements=tuple((p.unit, p.server) for p in message.placements),
             suspicions=_suspicions(message),
             version_ages=tuple(
-                VersionAge(v.model, v.version, v.ageMs / 1000)
+                VersionAge(v.model, v.version, v.ageMs / 1000, v.witnessed)
                 for v in message.versionAges
             ),
         )
@@ -167,6 +167,7 @@
             "version": age.version,
             # Rounded down: no version may become older on its way.
             "ageMs": min(int(age.age_s * 1000), MAX_AGE_MS),
+            "witnessed": age.witnessed,
         }
         for age in ages
         if 0 <= age.version <= MAX_VERSION
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -133,6 +133,10 @@
             else:
                 self._store_unread(age)
 
+    def update_recorded_age(self, age: VersionAge) -> None:
+        """Apply an age that the shared store has kept."""
+        self._update_version_age(age, VersionSource.RECORDED)
+
     def log_replaced_weights(self, server: BackendServer, model: str) -> None:
         """Log that a request is sent to a server whose weights were replaced."""
         version = server.versions.get(model)
@@ -185,6 +189,8 @@
     def _add_version(self, model, version):
         if self.named_versions.add(model, version, self.now()):
             source = VersionSource.READ if self.is_reading() else VersionSource.SEEN
+            if source is VersionSource.SEEN:
+                self.named_versions.record_witness(model, version)
             self._log_version(model, version, source)
             for age in self._unread_versions.pop(digest(model), self.now()):
                 known = replace(age, model=model)
@@ -196,11 +202,15 @@
         unread = self._unread_versions
         if age.model in unread.models or len(unread.models) < MAX_UNREAD_MODELS:
             unread.add(age.model, age.version, self.now(), age.age_s)
+            if age.witnessed:
+                unread.record_witness(age.model, age.version)
             unread.retain(age.model, ())
 
     def _update_version_age(self, age, source):
         """Take over a greater age of a version; log a large correction."""
         named, now = self.named_versions, self.now()
+        if age.witnessed:
+            named.record_witness(age.model, age.version)
         believed_s = named.age_s(age.model, age.version, now)
         if age.age_s <= believed_s:
             return
--- a/src/cassiaford/gateway/peers.capnp
+++ b/src/cassiaford/gateway/peers.capnp
@@ -44,6 +44,7 @@
   model @0 :UInt32;          # digest of the model's name
   version @1 :UInt64;
   ageMs @2 :UInt32;          # since it was named, as far as the sender knows
+  witnessed @3 :Bool;        # an instance saw the naming
 }
 
 # A report that is not whole identifies its sender by digest and contains only
--- a/src/cassiaford/gateway/policy/_named_versions.py
+++ b/src/cassiaford/gateway/policy/_named_versions.py
@@ -15,15 +15,20 @@
     SEEN = "seen"
     READ = "read"
     PEER = "peer"
+    RECORDED = "recorded"
 
 
 @dataclass(frozen=True)
 class VersionAge:
-    """The time since a version of a model, or a newer one, was first named."""
+    """The time since a version of a model, or a newer one, was first named.
+
+    It is `witnessed` if an instance saw the naming, not only the version.
+    """
 
     model: Hashable
     version: int
     age_s: float
+    witnessed: bool = False
 
 
 class NamedVersions:
@@ -53,6 +58,7 @@
         # Both versions and times rise, since a version that was known no sooner
         # than a newer one decides nothing.
         self.versions: dict[Hashable, list[tuple[int, float]]] = {}
+        self.witnessed: dict[Hashable, set[int]] = {}
 
     def add(
         self, model: Hashable, version: int, now: float, age_s: float = 0.0
@@ -71,9 +77,18 @@
             bisect.insort(versions, (version, named_at))
         return version > newest
 
+    def record_witness(self, model: Hashable, version: int) -> None:
+        """Record that an instance saw the naming of a version."""
+        self.witnessed.setdefault(model, set()).add(version)
+
+    def is_witnessed(self, model: Hashable, version: int) -> bool:
+        """Return whether an instance saw the naming of a version."""
+        return version in self.witnessed.get(model, ())
+
     def retain(self, model: Hashable, in_use: Iterable[int]) -> None:
         """Limit the versions stored; keep those that replaced versions in use."""
         versions = self.versions.get(model, [])
+        self.witnessed.get(model, set()).intersection_update(v for v, _ in versions)
         excess = len(versions) - MAX_VERSIONS
         if excess <= 0:
             return
@@ -105,7 +120,9 @@
         """Return the ages of a model's versions."""
         now += self.suspended_s()
         return [
-            VersionAge(model, version, now - named_at)
+            VersionAge(
+                model, version, now - named_at, self.is_witnessed(model, version)
+            )
             for version, named_at in self.versions.get(model, ())
         ]
 
@@ -113,6 +130,7 @@
         """Remove a model and return the ages of its versions."""
         ages = self.ages(model, now)
         self.versions.pop(model, None)
+        self.witnessed.pop(model, None)
         return ages
 
     @property
