--- a/tests/test_version_ages.py
+++ b/tests/test_version_ages.py
@@ -3,7 +3,10 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
+from cassiaford.gateway import _version_terms
+from cassiaford.gateway._own_keys import VERSIONS_PREFIX
 from cassiaford.gateway._peer_codec import (
     PeerMessageError,
     Report,
@@ -108,6 +111,31 @@
         known = second.view.named_versions
         self.assertGreaterEqual(known.replaced_for_s(MODEL, 1, now()), 4.0)
 
+    async def test_a_restart_of_all_instances_does_not_make_a_version_new(self):
+        await self.store.put("op/config", configuration())
+        await self.start_worker("i-0", "engine")
+        with mock.patch.object(_version_terms, "PEERS_TELL_WITHIN_S", 0.0):
+            first = await self.start_gateway("entry-1")
+            await self.store.put(f"op/version/{MODEL}", {"Model": MODEL, "Version": 2})
+            await self.wait_until(lambda: self.leases_below(TERMS))
+            await self.stop_gateway(first)
+            for lease in self.leases_below(TERMS):
+                await self.store.expire_lease(lease)
+            second = await self.start_gateway("entry-1")
+            now, named = second.loop.time, second.view.named_versions
+            await self.wait_until(lambda: named.replaced_for_s(MODEL, 1, now()) > 5.0)
+
+    def leases_below(self, prefix):
+        """Return the leases of the keys of versions below a prefix."""
+        prefix = VERSIONS_PREFIX + prefix
+        items = self.store.items
+        return {items[key]["Lease"] for key in items if key.startswith(prefix)}
+
+    async def stop_gateway(self, gateway):
+        """End a gateway without a planned stop."""
+        self.tasks[gateway].cancel()
+        await gateway.close()
+
     async def test_an_age_told_before_the_first_read_is_kept(self):
         gateway = await self.start_gateway(ready=False)
         gateway.view.update_version_ages((VersionAge(digest(MODEL), 2, 4.0),))
