--- a/tests/test_version_ages.py
+++ b/tests/test_version_ages.py
@@ -6,6 +6,8 @@
 from unittest import mock
 
 from cassiaford.gateway import _version_terms
+from cassiaford.gateway._event_log import SAMPLE_EVERY
+from cassiaford.gateway._messages import BackendServer
 from cassiaford.gateway._own_keys import VERSIONS_PREFIX
 from cassiaford.gateway._peer_codec import (
     PeerMessageError,
@@ -17,6 +19,7 @@
 from cassiaford.gateway._view import digest
 from cassiaford.gateway.policy import NamedVersions, VersionAge
 from cassiaford.gateway.policy._named_versions import MAX_VERSIONS
+from cassiaford.logs import Event
 from tests.platform_case import MODEL, PlatformCase, configuration
 from tests.version_schedule import (
     CONTACT_S,
@@ -95,6 +98,58 @@
                 self.assertLessEqual(set(ages), set(self.AGES))
 
 
+class LogTest(PlatformCase):
+    """What the log tells of a version's age and of requests on replaced weights."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.lines = []
+        await self.store.put("op/config", configuration())
+        self.gateway = await self.start_gateway(ready=False)
+        self.gateway.log.write = lambda event, **details: self.lines.append(
+            (event, details)
+        )
+
+    def logged(self, event):
+        """Return the fields of all lines of an event."""
+        return [details for logged, details in self.lines if logged is event]
+
+    async def name(self, version):
+        """Name a version, and wait until the gateway has it."""
+        document = {"Model": MODEL, "Version": version}
+        await self.store.put(f"op/version/{MODEL}", document)
+        named = self.gateway.view.named_versions
+        await self.wait_until(lambda: named.newest(MODEL) == version)
+
+    async def test_a_version_is_logged_with_its_source(self):
+        await self.wait_until(lambda: self.gateway.view.configuration)
+        await self.name(2)
+        self.gateway.view.update_version_ages((VersionAge(digest(MODEL), 3, 4.0),))
+        seen, told = self.logged(Event.VERSION_NAMED)
+        self.assertEqual((seen["source"], seen["age_s"]), ("seen", 0.0))
+        self.assertEqual((told["source"], told["age_s"]), ("peer", 4.0))
+
+    async def test_a_large_correction_is_logged_once(self):
+        await self.name(2)
+        for age_s in (4.0, 4.1, 4.0):
+            age = VersionAge(digest(MODEL), 2, age_s)
+            self.gateway.view.update_version_ages((age,))
+        (line,) = self.logged(Event.VERSION_AGE_CORRECTED)
+        self.assertEqual((line["version"], line["source"]), (2, "peer"))
+        self.assertGreater(line["corrected_by_s"], 3.0)
+
+    async def test_requests_on_replaced_weights_are_logged_within_bounds(self):
+        server = BackendServer("i-0", "engine", "h:1", "a", 8, versions={MODEL: 1})
+        await self.name(2)
+        for _ in range(SAMPLE_EVERY):
+            self.gateway.view.log_replaced_weights(server, MODEL)
+            self.gateway.log.write_sampled(Event.REQUEST_COMPLETED)
+        (line,) = self.logged(Event.REPLACED_WEIGHTS_USED)
+        self.assertEqual((line["server"], line["weights"]), ("i-0", 1))
+        self.assertGreaterEqual(line["age_s"], 0.0)
+        self.assertEqual(len(self.logged(Event.REQUEST_COMPLETED)), 1)
+
+
 class RestartTest(PlatformCase):
     async def test_a_restarted_instance_does_not_take_a_version_for_a_new_one(self):
         await self.store.put("op/config", configuration())
