--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -42,7 +42,6 @@
     Rollout,
     ServerHealth,
     ServicePlacer,
-    WeightsBound,
 )
 from cassiaford.logs import Event
 from cassiaford.metrics import Metrics
@@ -110,9 +109,7 @@
         self.rates = FleetRates(self.settings.rate_window_s)
         self.table = PeerTable()
         self.view = View(self.adapter.records, self.rates, self.log)
-        self.weights_bound = WeightsBound(
-            self.view.named_versions, self.settings.weights_within_s
-        )
+        self.rollout = Rollout(self.view.named_versions, self.settings.weights_within_s)
         self.view.on_versions_changed = self.engines.clear_cached_prefixes
         self.view.on_servers_changed = self._servers_changed
         self.view.on_configuration_changed = self._update_readiness
@@ -127,7 +124,7 @@
         )
         self.mirror = Mirror(sections, self.view)
         self.sync = MirrorSync(self.mirror, self.adapter.store, self.rng, self.log)
-        self.weights_bound.stable_since = self.sync.stable_since
+        self.rollout.bound.stable_since = self.sync.stable_since
         self.registration = Registration(
             INSTANCES_PREFIX + self.state.name,
             self.state,
@@ -141,7 +138,7 @@
             view=self.view,
             store=self.adapter.store,
             control=self.adapter.control,
-            rollout=Rollout(self.view.named_versions, self.settings.weights_within_s),
+            rollout=self.rollout,
             rng=self.rng,
             sync=self.sync,
             log=self.log,
@@ -187,7 +184,7 @@
             services=self.services,
             health=self.health,
             data_centre=settings.data_centre,
-            weights_bound=self.weights_bound,
+            weights_bound=self.rollout.bound,
             rng=self.rng,
         )
         self.placer.on_placement = self.peers.record_placement
@@ -267,7 +264,7 @@
         unchanged = settings.addresses == addresses
         self.settings = replace(settings, addresses=addresses)
         self.front.set_retry_limits(settings.retry_limits)
-        self.orderer.rollout.deadline_s = settings.weights_within_s
+        self.rollout.bound.within_s = settings.weights_within_s
         self.log.write(Event.SETTINGS_RELOADED, addresses_kept=unchanged)
 
     @property
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -9,6 +9,7 @@
 from cassiaford.gateway._messages import BackendServer, RequestMetadata
 from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import (
+    START_MARGIN_S,
     DecodeTimes,
     EnginePlacer,
     EngineView,
@@ -31,9 +32,8 @@
 REMOTE_COST_S = 0.03
 # An engine that is about to load new weights will lose its cached prefixes.
 PENDING_LOAD_COST_S = 0.1
-# Under load a request may start this much later than expected. One that may be
-# withdrawn from replaced weights needs less time than one that may not.
-START_MARGIN_S = 1.0
+# A request that may be withdrawn from replaced weights needs less time there than
+# one that may not.
 WITHDRAWABLE_START_MARGIN_S = 0.5
 # Time until an engine notices that a request was withdrawn.
 WITHDRAWAL_MARGIN_S = 0.25
--- a/src/cassiaford/gateway/policy/__init__.py
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -21,9 +21,10 @@
 from cassiaford.gateway.policy._rollout import LoadOrder, Rollout, RolloutServer
 from cassiaford.gateway.policy._server_health import ServerHealth
 from cassiaford.gateway.policy._service_placer import PlainServer, ServicePlacer
-from cassiaford.gateway.policy._weights_bound import WeightsBound
+from cassiaford.gateway.policy._weights_bound import START_MARGIN_S, WeightsBound
 
 __all__ = [
+    "START_MARGIN_S",
     "BrokenRequest",
     "CrashEvidence",
     "DecodeTimes",
--- a/src/cassiaford/gateway/policy/_rollout.py
+++ b/src/cassiaford/gateway/policy/_rollout.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from cassiaford.gateway.policy._named_versions import NamedVersions
+from cassiaford.gateway.policy._weights_bound import WeightsBound
 
 # Weights load more slowly when more than about a third of the engines load.
 MAX_LOADING_FRACTION = 1 / 3
@@ -70,6 +71,8 @@
 class Rollout:
     """Plans the loads, for the one instance that gives orders.
 
+    `bound` tells until when requests may begin on replaced weights.
+
     Examples
     --------
     >>> named = NamedVersions()
@@ -85,7 +88,7 @@
 
     def __init__(self, named_versions: NamedVersions, deadline_s: float):
         self.named_versions = named_versions
-        self.deadline_s = deadline_s
+        self.bound = WeightsBound(named_versions, deadline_s)
         self.turns: dict[Hashable, _Turn] = {}
         self.demand = 0.0
 
@@ -148,6 +151,6 @@
         replaced_for_s = self.named_versions.replaced_for_s(
             server.model, server.version, now
         )
-        if replaced_for_s > self.deadline_s * URGENT_FRACTION:
+        if replaced_for_s > self.bound.within_s * URGENT_FRACTION:
             return URGENT_FACTOR * usual
         return usual
--- a/src/cassiaford/gateway/policy/_weights_bound.py
+++ b/src/cassiaford/gateway/policy/_weights_bound.py
@@ -5,6 +5,10 @@
 
 from cassiaford.gateway.policy._named_versions import NamedVersions
 
+# Under load a request may start this much later than expected, so none is sent that
+# is expected to start in the last part of the time.
+START_MARGIN_S = 1.0
+
 
 class WeightsBound:
     """Tells how long requests may begin on each version of a model's weights.
