--- a/src/cassiaford/gateway/policy/_rollout.py
+++ b/src/cassiaford/gateway/policy/_rollout.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from cassiaford.gateway.policy._named_versions import NamedVersions
-from cassiaford.gateway.policy._weights_bound import WeightsBound
+from cassiaford.gateway.policy._weights_bound import START_MARGIN_S, WeightsBound
 
 # Weights load more slowly when more than about a third of the engines load.
 MAX_LOADING_FRACTION = 1 / 3
@@ -147,6 +147,10 @@
 
     def _max_loading(self, server, count, now):
         spare = count - math.ceil(self.demand / MAX_BUSY_FRACTION)
+        last_start = self.bound.last_start(server.model, server.version, now)
+        if now > last_start - START_MARGIN_S:
+            # Few requests are sent there any more, and none that waits may begin.
+            return count
         usual = max(1, min(spare, math.ceil(count * MAX_LOADING_FRACTION)))
         replaced_for_s = self.named_versions.replaced_for_s(
             server.model, server.version, now
