--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -227,7 +227,12 @@
     def _choose_engine(self, servers, metadata, customer, route, now, may_withdraw):
         margin_s = _start_margin_s(may_withdraw)
         spec = _engine_spec(self.view.configuration, servers)
-        in_use = {key: s for key, s in servers.items() if key not in self.out_of_use}
+        usable = {
+            key: server
+            for key, server in servers.items()
+            if now <= self._last_start(server, metadata, now) - margin_s
+        }
+        in_use = {key: s for key, s in usable.items() if key not in self.out_of_use}
         views = [
             EngineView(
                 key,
@@ -242,8 +247,7 @@
                 spec.link_bytes_per_s / spec.token_bytes if spec.token_bytes else 0.0,
                 self._last_start(server, metadata, now) - margin_s,
             )
-            for key, server in (in_use or servers).items()
-            if now <= self._last_start(server, metadata, now) - margin_s
+            for key, server in (in_use or usable).items()
         ]
         request = self._generation(metadata, customer, route.target_latency_s)
         versions = {
