--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -287,7 +287,7 @@
     def _forwarding(self, choice: Choice) -> Forwarding:
         job = self.job
         customer = job.customer
-        version = choice.server.versions.get(job.metadata.model or "")
+        version = self._expected_version(choice)
         return Forwarding(
             server=choice.server,
             customer=customer.name if customer is not None else None,
@@ -299,6 +299,16 @@
             resume_after=job.resume_after,
         )
 
+    def _expected_version(self, choice):
+        """Return the weights that a server must have for the request, or None.
+
+        If its entry does not tell, these are the newest, as replaced ones may be
+        overdue.
+        """
+        model = self.job.metadata.model or ""
+        newest = self.context.view.named_versions.newest(model) or None
+        return choice.server.versions.get(model, newest)
+
     def _no_server_refusal(self, now):
         """Return the refusal of a request that no server can serve in time."""
         if self.job.sends:
