--- a/tests/test_weights_bound.py
+++ b/tests/test_weights_bound.py
@@ -171,6 +171,12 @@
         await self.wait_until(lambda: self.gateway.settings.weights_within_s == 3.0)
         self.assertIsNone(self.chosen_engine("mark"))
 
+    async def test_a_refusal_tells_to_come_back_once_an_engine_has_loaded(self):
+        self.name_newer(WEIGHTS_WITHIN_S)
+        response = await self.call_engine(self.gateway, "/mark/1")
+        self.assertEqual(response.status, 503)
+        self.assertGreater(float(response.headers["retry-after"]), 1.0)
+
     async def test_an_engine_of_unknown_weights_must_have_the_newest(self):
         self.old.versions = {}
         await self.register(self.old)
