--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -319,7 +319,7 @@
             RefusalReason.NO_BACKEND,
             placer.explain(job.service, job.metadata, job.tried_servers, now)
             + self._describe_shortage(now),
-            self._retry_after_s(placer.backoff_remaining_s(job.service, now)),
+            self._retry_after_s(placer.available_in_s(job.service, job.metadata, now)),
         )
 
     def _describe_shortage(self, now):
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -359,7 +359,8 @@
         self.placer.unreachable_stores = self.store_prober.unreachable
 
     def _out_of_use_changed(self):
-        self.placer.out_of_use = self.peers.all_out_of_use()
+        out_of_use = self.placer.out_of_use = self.peers.all_out_of_use()
+        self.placer.load_times.update(out_of_use, self.loop.time())
 
     def _remove_peer(self, name):
         self.log.write(Event.MEMBER_LOST, peer=name)
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -14,6 +14,7 @@
     EnginePlacer,
     EngineView,
     GenerationRequest,
+    LoadTimes,
     Placement,
     PlainServer,
     Prefix,
@@ -87,6 +88,7 @@
         self.weights_bound = weights_bound
         self.rng = rng
         self.decode_times = DecodeTimes()
+        self.load_times = LoadTimes()
         self.waiting = WaitingPrompts()
         self.out_of_use: frozenset[int] = frozenset()
         self.unreachable_stores: frozenset[str] = frozenset()
@@ -194,14 +196,27 @@
             self.engines.record_rejection(metadata.attempt_id, choice.placement)
         self.health.record_rejection(choice.key, now)
 
-    def backoff_remaining_s(self, service: str, now: float) -> float:
-        """Return the seconds until the first server gets requests again."""
+    def available_in_s(
+        self, service: str, metadata: RequestMetadata, now: float
+    ) -> float:
+        """Return the seconds until the first server may get a request again."""
         servers = self.view.servers.get(service, {})
         return min(
-            (self.health.backoff_remaining_s(key, now) for key in servers),
+            (
+                max(
+                    self.health.backoff_remaining_s(key, now),
+                    self._load_remaining_s(key, server, metadata, now),
+                )
+                for key, server in servers.items()
+            ),
             default=1.0,
         )
 
+    def _load_remaining_s(self, key, server, metadata, now):
+        if now <= self._last_start(server, metadata, now) - START_MARGIN_S:
+            return 0.0
+        return self.load_times.remaining_s(key, now)
+
     def explain(
         self, service: str, metadata: RequestMetadata, tried: set[int], now: float
     ) -> str:
--- a/src/cassiaford/gateway/policy/__init__.py
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -14,6 +14,7 @@
 from cassiaford.gateway.policy._fleet_rates import FleetRates, Limit
 from cassiaford.gateway.policy._generation import GenerationRequest, Prefix
 from cassiaford.gateway.policy._late_requests import WaitingPrompts, should_wait
+from cassiaford.gateway.policy._load_times import LoadTimes
 from cassiaford.gateway.policy._named_versions import NamedVersions
 from cassiaford.gateway.policy._peer_table import PeerState, PeerTable
 from cassiaford.gateway.policy._registry import ServerRegistry
@@ -34,6 +35,7 @@
     "GenerationRequest",
     "Limit",
     "LoadOrder",
+    "LoadTimes",
     "NamedVersions",
     "PeerState",
     "PeerTable",
