--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -64,6 +64,7 @@
         self.ran: list[str] = []
         self.cancelled: list[str] = []
         self.queued: list[str] = []
+        self.ordered = asyncio.Event()
         self.orders: list[dict] = []
         self.state = "ready"
         self.released = asyncio.Event()
@@ -137,6 +138,8 @@
             return 409, {}
         self.orders.append(order)
         self.versions[order["Model"]] = order["Version"]
+        ordered, self.ordered = self.ordered, asyncio.Event()
+        ordered.set()
         return 202, {}
 
     def _models(self):
@@ -159,7 +162,7 @@
         if behaviour in (Behaviour.QUEUE, Behaviour.QUEUE_AFTER_HEAD):
             if behaviour is Behaviour.QUEUE_AFTER_HEAD:
                 writer.write(_stream_head(self._own_headers(attempt)))
-            if not await self._wait_in_queue(attempt, reader):
+            if not await self._wait_in_queue(attempt, reader, writer):
                 return False
         self.ran.append(attempt)
         if self.prefill_s:
@@ -169,20 +172,25 @@
             return False
         return await self._execute(behaviour, call, attempt, reader, writer)
 
-    async def _wait_in_queue(self, attempt, reader):
-        """Return whether a request may begin, rather than that it was withdrawn."""
+    async def _wait_in_queue(self, attempt, reader, writer):
+        """Return whether a request may begin: not if withdrawn or thrown back."""
         self.queued.append(attempt)
         closed = asyncio.ensure_future(reader.read(1))
         released = asyncio.ensure_future(self.released.wait())
+        ordered = asyncio.ensure_future(self.ordered.wait())
+        waits = closed, released, ordered
         try:
-            await asyncio.wait((closed, released), return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            closed.cancel()
-            released.cancel()
+            for wait in waits:
+                wait.cancel()
             self.queued.remove(attempt)
         if released.done():
             return True
-        self.cancelled.append(attempt)
+        if ordered.done():
+            writer.write(response_bytes(503, {"X-Not-Executed": "1"}, b""))
+        else:
+            self.cancelled.append(attempt)
         return False
 
     def _is_fatal(self, call):
--- a/tests/test_weights_bound.py
+++ b/tests/test_weights_bound.py
@@ -143,6 +143,17 @@
         self.assertEqual((await request).status, 200)
         self.assertEqual((len(self.old.ran), new.ran), (1, []))
 
+    async def test_a_request_that_an_order_throws_back_runs_elsewhere(self):
+        self.old.behaviours = [Behaviour.QUEUE]
+        request = asyncio.create_task(self.call_engine(self.gateway, "/mark/1"))
+        await self.wait_until(lambda: self.old.queued)
+        new = await self.start_new_engine()
+        self.gateway.orderer.stopping = False
+        await self.store.put(f"op/version/{MODEL}", {"Model": MODEL, "Version": 2})
+        self.assertEqual((await request).status, 200)
+        self.assertEqual((self.old.ran, len(new.ran)), ([], 1))
+        self.assertEqual(len(self.old.orders), 1)
+
     async def test_nothing_is_sent_if_the_bound_passes_while_a_connection_opens(self):
         pool = self.gateway.adapter.pool
         connect, opened, passed = pool.connect, asyncio.Event(), asyncio.Event()
