--- a/src/cassiaford/gateway/_server_chooser.py
+++ b/src/cassiaford/gateway/_server_chooser.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from cassiaford.gateway._configuration import RequestKind
 from cassiaford.gateway._exchange_context import ExchangeContext
 from cassiaford.gateway._job import Job
 from cassiaford.gateway._placer import Choice
@@ -79,9 +80,14 @@
         )
 
     def _may_withdraw(self, now):
-        """Return whether the request may be sent elsewhere after its next run."""
-        budget = self.context.budgets[self.job.service]
-        return self.job.has_more_runs and budget.allows(now, self.instances)
+        """Return whether the request may be sent elsewhere after its next run.
+
+        The begin of a response that is no stream cannot be seen.
+        """
+        job = self.job
+        if job.route.kind is not RequestKind.STREAM or not job.has_more_runs:
+            return False
+        return self.context.budgets[job.service].allows(now, self.instances)
 
     def _misses_deadline(self, choice, now):
         """Return whether the deadline passes before the expected first token."""
