--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -288,7 +288,7 @@
     def _forwarding(self, choice: Choice) -> Forwarding:
         job = self.job
         customer = job.customer
-        version = choice.server.versions.get(job.metadata.model or "")
+        version = self._expected_version(choice)
         return Forwarding(
             server=choice.server,
             customer=customer.name if customer is not None else None,
@@ -300,6 +300,16 @@
             resume_after=job.resume_after,
         )
 
+    def _expected_version(self, choice):
+        """Return the weights that a server must have for the request, or None.
+
+        If its entry does not tell, these are the newest, as replaced ones may be
+        overdue.
+        """
+        model = self.job.metadata.model or ""
+        newest = self.context.view.named_versions.newest(model) or None
+        return choice.server.versions.get(model, newest)
+
     def _no_server_refusal(self, now):
         """Return the refusal of a request that no server can serve in time."""
         if self.job.sends:
@@ -310,7 +320,7 @@
             RefusalReason.NO_BACKEND,
             placer.explain(job.service, job.metadata, job.tried_servers, now)
             + self._describe_shortage(now),
-            self._retry_after_s(placer.backoff_remaining_s(job.service, now)),
+            self._retry_after_s(placer.available_in_s(job.service, job.metadata, now)),
         )
 
     def _describe_shortage(self, now):
