--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -37,6 +37,7 @@
 from cassiaford.gateway._version_terms import VersionTerms
 from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import (
+    START_MARGIN_S,
     EnginePlacer,
     FleetRates,
     PeerState,
@@ -148,7 +149,7 @@
         )
         self.terms = VersionTerms(
             VERSIONS_PREFIX,
-            self.settings.weights_within_s - WEIGHTS_MARGIN_S,
+            self.settings.weights_within_s - START_MARGIN_S,
             self.view,
             self.adapter.store,
             self.sync,
