--- a/src/cassiaford/gateway/_version_terms.py
+++ b/src/cassiaford/gateway/_version_terms.py
@@ -99,9 +99,10 @@
         elif change.item is None:
             self.records.pop(change.key, None)
         else:
-            self.records[change.key] = decode_record(
-                change.item.value, change.item.revision
-            )
+            # A record that cannot be decoded is written anew.
+            revision = change.item.revision
+            self.records[change.key] = VersionRecord("", (), revision)
+            self.records[change.key] = decode_record(change.item.value, revision)
 
     async def run(self) -> None:
         """Go by the records, and write them while it may, until cancelled."""
@@ -139,12 +140,12 @@
 
     async def _write_records(self):
         """Write what is not recorded yet; return the time until the next step."""
-        for model in self.view.named_versions.models:
-            if due := self._due(model):
-                await self._try_to_write(model, due)
-                # The record comes back with a watch.
-                return RETRY_INTERVAL_S
-        return STEP_INTERVAL_S
+        due = {model: self._due(model) for model in self.view.named_versions.models}
+        due = {model: ages for model, ages in due.items() if ages}
+        for model, ages in due.items():
+            await self._try_to_write(model, ages)
+        # What was written comes back with a watch.
+        return RETRY_INTERVAL_S if due else STEP_INTERVAL_S
 
     async def _try_to_write(self, model, due):
         started_at = self.sync.clock()
--- a/tests/test_version_ages.py
+++ b/tests/test_version_ages.py
@@ -349,6 +349,19 @@
         # The store's pages come in the order of keys, and are not a snapshot.
         self.assertLess(RECORDS, TERMS)
 
+    def test_a_malformed_record_is_written_anew(self):
+        async def run():
+            schedule = VersionSchedule(1)
+            async with schedule.calm():
+                await asyncio.sleep(1.0)
+                (key,) = schedule.stored(RECORDS)
+                schedule.store.put(key, b"[]")
+                await asyncio.sleep(1.0)
+                record = decode_record(schedule.store.items[key].value, 0)
+                self.assertIn(2, record.versions)
+
+        run_in_virtual_time(run())
+
     def test_a_malformed_record_is_refused(self):
         values = (b"", b"[]", b"{}", b'{"model": "m", "versions": 3}', b"\xff")
         for value in (*values, b'{"model": "m", "versions": ["new"]}'):
