--- a/src/cassiaford/gateway/_messages.py
+++ b/src/cassiaford/gateway/_messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from cassiaford.origins import StreamOrigin, origin_of
+
 Headers = list[tuple[str, str]]
 
 
@@ -66,6 +68,7 @@
 
     `started_at` is the registered start, which distinguishes incarnations of one
     identifier; `versions` are the versions of the loaded weights by model.
+    `software_version` is that of the server's program, None if it is unknown.
     """
 
     server_id: str
@@ -76,6 +79,12 @@
     draining: bool = False
     started_at: int = 0
     versions: dict[str, int] = field(default_factory=dict)
+    software_version: str | None = None
+
+    @property
+    def origin(self) -> StreamOrigin | None:
+        """The origin of the streams that the server begins, None if unknown."""
+        return origin_of(self.service, self.software_version)
 
     @property
     def incarnation(self) -> tuple[str, int, str]:
--- a/src/cassiaford/platform/_records.py
+++ b/src/cassiaford/platform/_records.py
@@ -84,7 +84,6 @@
         state = string(document, "State")
         if state not in _DRAINING_BY_STATE:
             raise MalformedError(f"unknown state {state!r}")
-        # The entry's field Version is the version of the server's software.
         return BackendServer(
             server_id=key.removeprefix(self.servers_prefix),
             service=string(document, "Service"),
@@ -94,6 +93,7 @@
             draining=_DRAINING_BY_STATE[state],
             started_at=integer(document, "born", 0),
             versions=versions_of(document),
+            software_version=_software_version(document),
         )
 
 
@@ -105,6 +105,15 @@
     }
 
 
+def _software_version(document):
+    """Return the version of a server's software, or None if it names none.
+
+    Such a server still takes new streams.
+    """
+    value = document.get("Version")
+    return value if isinstance(value, str) and value else None
+
+
 def _address(document):
     address = string(document, "Address")
     host, _, port = address.rpartition(":")
