--- a/bench/gateway_reports.py
+++ b/bench/gateway_reports.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Sequence
 
-from cassiaford.gateway._peer_codec import Report, decode_report, encode_report
+from cassiaford.gateway._peer_codec import Report, decode_message, encode_report
 from cassiaford.gateway.policy import (
     EnginePlacer,
     FleetRates,
@@ -68,7 +68,7 @@
     return (
         len(data),
         cpu_seconds_per_call(lambda: encode_report(message), repeats),
-        cpu_seconds_per_call(lambda: decode_report(data), repeats),
+        cpu_seconds_per_call(lambda: decode_message(data), repeats),
         cpu_seconds_per_call(apply_report, repeats),
     )
 
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -32,6 +32,7 @@
 from cassiaford.gateway._prober import PrefixStoreProber, ServerProber
 from cassiaford.gateway._registration import Registration
 from cassiaford.gateway._settings import GatewaySettings
+from cassiaford.gateway._shared_origins import SharedStreamOrigins
 from cassiaford.gateway._tasks import run_with_restarts
 from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import (
@@ -45,6 +46,7 @@
 )
 from cassiaford.logs import Event
 from cassiaford.metrics import Metrics
+from cassiaford.origins import origin_of
 
 # Short batch window: reloaded engines stay out of use until their entries are seen.
 SERVER_BATCH_WINDOW_S = 0.12
@@ -163,6 +165,9 @@
             self.log,
         )
         self.crashes.on_crash = self.peers.send_report
+        self.origins = SharedStreamOrigins(self.table)
+        self.origins.send = self.peers.send
+        self.peers.on_origins = self.origins.receive
         self.view.on_own_key_changed = OwnKeys(
             self.table, self.registration, self.orderer, self.crashes, self.log
         ).on_change
@@ -379,6 +384,14 @@
         keys = {key for servers in self.view.servers.values() for key in servers}
         self.engines.retain(keys)
         self.health.retain(keys)
+        self.origins.remember(
+            {
+                origin
+                for service, servers in self.view.servers.items()
+                for server in servers.values()
+                if (origin := origin_of(service, server.software_version))
+            }
+        )
         self._update_readiness()
 
     def _instance_count(self):
--- a/src/cassiaford/gateway/_gauges.py
+++ b/src/cassiaford/gateway/_gauges.py
@@ -31,6 +31,10 @@
     yield "rate_left_least_share", min(fractions, default=1.0)
     yield "requests_suspect", len(gateway.crashes.tracker.suspicions)
     yield "requests_refused_after_crashes", gateway.crashes.refused_count
+    yield "stream_origins", len(gateway.origins.origins)
+    yield "stream_origin_lookups_total", gateway.origins.lookup_count
+    yield "stream_origins_found_total", gateway.origins.found_count
+    yield "stream_origin_lookups_dropped_total", gateway.origins.dropped_count
     budgets = gateway.front.context.budgets.values()
     instances = gateway.front.instance_count()
     remaining = [budget.remaining(now, instances) for budget in budgets]
--- a/src/cassiaford/gateway/_peer_codec.py
+++ b/src/cassiaford/gateway/_peer_codec.py
@@ -7,6 +7,7 @@
 from cassiaford._schemas import load_schema
 from cassiaford.gateway._store import Item, Page
 from cassiaford.gateway.policy import PeerState, PlacedWork
+from cassiaford.origins import OriginRecord
 from cassiaford.suspects import (
     AnsweredParts,
     ClearedFingerprint,
@@ -18,6 +19,9 @@
 
 _schema = load_schema(__file__, "peers.capnp")
 
+# Bounds the work that one message about origins makes.
+MAX_ORIGIN_ITEMS = 16
+
 
 class PeerMessageError(ValueError):
     """A message from a peer that cannot be decoded."""
@@ -53,6 +57,19 @@
         return self.state is not None
 
 
+@dataclass(frozen=True)
+class OriginMessage:
+    """What an instance tells or asks a peer about where streams began.
+
+    `asked` and `unknown` are digests of attempts: those whose origin the sender
+    asks for, and those that it was asked for and has no record of.
+    """
+
+    told: tuple[OriginRecord, ...] = ()
+    asked: tuple[int, ...] = ()
+    unknown: tuple[int, ...] = ()
+
+
 def encode_report(report: Report) -> bytes:
     """Return the datagram of a report."""
     message = _schema.Report.new_message(
@@ -91,36 +108,65 @@
     return message.to_bytes_packed()
 
 
-def decode_report(data: bytes) -> Report:
-    """Return a report; raise `PeerMessageError`."""
+def encode_origin_message(message: OriginMessage) -> bytes:
+    """Return the datagram of a message about origins."""
+    encoded = _schema.Report.new_message()
+    origins = encoded.init("origins")
+    origins.told = [
+        {"attempt": record.attempt, "origin": record.origin or 0}
+        for record in message.told
+    ]
+    origins.asked = list(message.asked)
+    origins.unknown = list(message.unknown)
+    return encoded.to_bytes_packed()
+
+
+def decode_message(data: bytes) -> Report | OriginMessage:
+    """Return a report or a message about origins; raise `PeerMessageError`."""
     try:
         message = _schema.Report.from_bytes_packed(data)
-        return Report(
-            sender=message.sender,
-            incarnation=message.incarnation,
-            sequence=message.sequence,
-            state=_state(message) if message.whole else None,
-            revision=message.revision,
-            prefill_speed=message.readSpeed,
-            work={
-                w.server: PlacedWork(
-                    w.readTokens,
-                    w.running,
-                    w.tokens,
-                    w.unstarted,
-                )
-                for w in message.work
-            },
-            spending={s.customer: s.tokens for s in message.spending},
-            out_of_use=frozenset(message.held),
-            unreachable=frozenset(message.unreachable),
-            placements=tuple((p.unit, p.server) for p in message.placements),
-            suspicions=_suspicions(message),
-        )
+        return _report(message) if message.sequence else _origin_message(message)
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         raise PeerMessageError(str(error)) from error
 
 
+def _origin_message(message):
+    origins = message.origins
+    count = len(origins.told) + len(origins.asked) + len(origins.unknown)
+    if not 0 < count <= MAX_ORIGIN_ITEMS:
+        raise PeerMessageError(f"{count} items about origins")
+    return OriginMessage(
+        told=tuple(OriginRecord(t.attempt, t.origin or None) for t in origins.told),
+        asked=tuple(origins.asked),
+        unknown=tuple(origins.unknown),
+    )
+
+
+def _report(message):
+    return Report(
+        sender=message.sender,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        state=_state(message) if message.whole else None,
+        revision=message.revision,
+        prefill_speed=message.readSpeed,
+        work={
+            w.server: PlacedWork(
+                w.readTokens,
+                w.running,
+                w.tokens,
+                w.unstarted,
+            )
+            for w in message.work
+        },
+        spending={s.customer: s.tokens for s in message.spending},
+        out_of_use=frozenset(message.held),
+        unreachable=frozenset(message.unreachable),
+        placements=tuple((p.unit, p.server) for p in message.placements),
+        suspicions=_suspicions(message),
+    )
+
+
 def _encode_suspicions(message, suspicions):
     message.crashes = [
         {
--- a/src/cassiaford/gateway/_peers.py
+++ b/src/cassiaford/gateway/_peers.py
@@ -7,9 +7,10 @@
 from cassiaford.gateway._crashes import CrashMonitor
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._peer_codec import (
+    OriginMessage,
     PeerMessageError,
     Report,
-    decode_report,
+    decode_message,
     encode_report,
 )
 from cassiaford.gateway._view import digest
@@ -66,6 +67,7 @@
         self.on_newer_peer: Callable[[PeerState, int], None] = lambda peer, revision: (
             None
         )
+        self.on_origins: Callable[[OriginMessage, str], None] = lambda *args: None
         self.peers_out_of_use: dict[str, frozenset[int]] = {}
         self.on_out_of_use: Callable[[], None] = lambda: None
         self.customers_by_digest: dict[int, str] = {}
@@ -87,13 +89,15 @@
         """Ignore a peer's closed port; its silence is detected anyway."""
 
     def datagram_received(self, data, addr):
-        """Process a report."""
+        """Process a report, or pass on what is not one."""
         try:
-            report = decode_report(data)
+            report = decode_message(data)
         except PeerMessageError as error:
             self.log.write(Event.PEER_MESSAGE_DROPPED, peer=addr[0], cause=str(error))
             return
-        if report.sender != digest(self.state.name) and self._is_new(report):
+        if isinstance(report, OriginMessage):
+            self.on_origins(report, f"{addr[0]}:{addr[1]}")
+        elif report.sender != digest(self.state.name) and self._is_new(report):
             self._apply(report)
 
     def set_customers(self, names) -> None:
@@ -118,6 +122,12 @@
         if self._unreported_s >= IMMEDIATE_REPORT_WORK_S:
             self.send_report()
 
+    def send(self, data: bytes, address: str) -> None:
+        """Send a datagram to the address of a peer."""
+        if self.transport is not None and not self.transport.is_closing():
+            host, _, port = address.rpartition(":")
+            self.transport.sendto(data, (host, int(port)))
+
     async def run(self) -> None:
         """Send reports until cancelled."""
         while True:
@@ -165,8 +175,7 @@
         )
         data = encode_report(report)
         for peer in self.table.all():
-            host, _, port = peer.peer_address.rpartition(":")
-            self.transport.sendto(data, (host, int(port)))
+            self.send(data, peer.peer_address)
 
     def _work(self):
         work = self.engines.own_work()
--- a/src/cassiaford/gateway/peers.capnp
+++ b/src/cassiaford/gateway/peers.capnp
@@ -40,6 +40,17 @@
   parts @0 :List(UInt64);    # refused where all of them are in one prompt
 }
 
+struct StreamOrigin {
+  attempt @0 :UInt64;       # digest of the attempt that brought the first event
+  origin @1 :UInt64;        # digest of service and software version; 0: ambiguous
+}
+
+struct Origins {
+  told @0 :List(StreamOrigin);
+  asked @1 :List(UInt64);   # digests of attempts
+  unknown @2 :List(UInt64); # in answer to a question
+}
+
 # A report that is not whole identifies its sender by digest and contains only
 # what has changed; only whole reports contain the texts.
 struct Report {
@@ -63,6 +74,7 @@
   cleared @17 :List(Cleared);
   refusedParts @18 :List(PartGroup);
   answeredParts @19 :List(UInt64);  # since they were reported with a crash
+  origins @20 :Origins;     # alone, without a sequence, so that older releases drop it
 }
 
 # An instance's copy of a part of the store, for a peer whose calls to the store fail.
