--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -194,6 +194,8 @@
             else:
                 job.longest_pause_s = max(job.longest_pause_s, now - last_event_at)
             last_event_at = now
+            if not job.head_sent:
+                job.origin = choice.server.origin
             self._send_events(response, events)
             await job.connection.drain()
         if first_event_at is not None:
@@ -324,6 +326,8 @@
             sends=job.sends,
             fingerprint=job.fingerprint,
             resume_after=job.resume_after or "",
+            continues_stream=job.head_sent,
+            software_version=job.origin.software_version if job.origin else "",
         )
 
 
--- a/src/cassiaford/gateway/_job.py
+++ b/src/cassiaford/gateway/_job.py
@@ -6,6 +6,7 @@
 from cassiaford.gateway._caller_connection import CallerConnection
 from cassiaford.gateway._configuration import Customer, Route
 from cassiaford.gateway._messages import HttpRequest, RequestMetadata
+from cassiaford.origins import StreamOrigin
 from cassiaford.suspects import part_fingerprint, request_fingerprint
 from cassiaford.verdict import Failure, Verdict
 
@@ -18,8 +19,9 @@
     `runs` those that may have run; `tried_servers` has the keys of all servers tried.
     `expected_first_token_s` is the server's expected time to the first token, and
     `first_byte_s` the time from receipt to the first byte sent to the caller.
-    `resume_after` is the identifier of the last event sent. `misses_deadline` is
-    set if no server could start the response before the deadline.
+    `resume_after` is the identifier of the last event sent, and `origin` that of
+    the server whose event was sent first, None while unknown. `misses_deadline`
+    is set if no server could start the response before the deadline.
     """
 
     request: HttpRequest = field(repr=False)
@@ -34,6 +36,7 @@
     verdict: Verdict = Verdict.NOT_RUN
     tried_servers: set[int] = field(default_factory=set)
     resume_after: str | None = None
+    origin: StreamOrigin | None = None
     head_sent: bool = False
     failure: Failure | None = None
     server_id: str = ""
--- a/standins/_engine_jobs.py
+++ b/standins/_engine_jobs.py
@@ -45,6 +45,7 @@
     chat: bool
     streaming: bool
     include_usage: bool
+    software_version: str
 
 
 class Job:
@@ -160,6 +161,7 @@
             "object": kind or "text_completion",
             "created": self.created,
             "model": self.spec.model,
+            "system_fingerprint": self.spec.software_version,
         }
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -103,7 +103,7 @@
         if existing is not None:
             return _error(409, "a request with this identifier was already started")
         try:
-            spec = _job_spec(request, request_id)
+            spec = _job_spec(request, request_id, self.options.software_version)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             return self._reject(request, 400, str(error))
         if not self.orders.serves(spec.model):
@@ -205,7 +205,7 @@
         return json_response({"silenced": self.server.silence(request.connection)})
 
 
-def _job_spec(request, request_id):
+def _job_spec(request, request_id, software_version):
     body = request.json()
     prompt = prompt_text(body)
     salt = int(request.headers.get("x-cache-salt", "0"), 16)
@@ -221,6 +221,7 @@
         chat=request.path.endswith("/chat/completions"),
         streaming=bool(body.get("stream")),
         include_usage=bool(stream_options.get("include_usage")),
+        software_version=software_version,
     )
 
 
@@ -291,6 +292,7 @@
     add("--load-lag-s", type=float, default=0.2)
     add("--check-fencing", action="store_true")
     add("--weight-store", help="address of the weight store")
+    add("--software-version", default="v1")
     add("--crash-marker", default="", help="text in a request that crashes the process")
     add("--record-file", help="file to append run records to")
     add("--seed", type=int, default=1)
