--- a/src/cassiaford/cli/_server.py
+++ b/src/cassiaford/cli/_server.py
@@ -24,6 +24,7 @@
     reporting_errors,
 )
 from cassiaford.config import (
+    COMMON_SOFTWARE,
     BackendServer,
     PutServer,
     RemoveServer,
@@ -59,6 +60,9 @@
     slots: Annotated[
         int, typer.Option(min=1, help="Maximum concurrent requests.")
     ] = 32,
+    software_version: Annotated[
+        str, typer.Option(help="The version of its software, not of its weights.")
+    ] = COMMON_SOFTWARE,
     key_value: KeyValueOption = "",
     settings: SettingsOption = None,
     author: AuthorOption = "",
@@ -75,6 +79,7 @@
             group=group or None,
             checks_fencing=checks_fencing,
             slots=slots,
+            software_version=software_version,
         )
         log = open_log(key_value, settings)
         base = log.load()
@@ -125,10 +130,19 @@
                 server.kind.value,
                 " ".join(server.models) or server.group or "",
                 server.state.value,
+                server.software_version,
             )
             for server in listed
         ]
-        header = ("SERVER", "ADDRESS", "DATA CENTRE", "KIND", "SERVES", "STATE")
+        header = (
+            "SERVER",
+            "ADDRESS",
+            "DATA CENTRE",
+            "KIND",
+            "SERVES",
+            "STATE",
+            "SOFTWARE",
+        )
         print_table(header, rows)
 
 
--- a/src/cassiaford/config/__init__.py
+++ b/src/cassiaford/config/__init__.py
@@ -18,6 +18,7 @@
 )
 from cassiaford.config._describe import describe_change
 from cassiaford.config._document import (
+    COMMON_SOFTWARE,
     EMPTY_CONFIGURATION,
     BackendServer,
     Configuration,
@@ -44,6 +45,7 @@
 )
 
 __all__ = [
+    "COMMON_SOFTWARE",
     "EMPTY_CONFIGURATION",
     "BackendServer",
     "Change",
--- a/src/cassiaford/config/_document.py
+++ b/src/cassiaford/config/_document.py
@@ -7,6 +7,8 @@
 from pydantic import ConfigDict, Field, model_validator
 from pydantic.dataclasses import dataclass
 
+# The software version of servers that name none: one software for all of them.
+COMMON_SOFTWARE = "common"
 # Unknown fields are errors, so that a misspelt field is not replaced by a default.
 STRICT = ConfigDict(extra="forbid")
 
@@ -81,7 +83,8 @@
     `models` names the models of an engine; `group` is the name by which routes
     refer to a plain service. `checks_fencing` says whether the server rejects
     orders with an old fencing number. `slots` is the number of requests that
-    it runs concurrently.
+    it runs concurrently. Servers of different `software_version` generate
+    different text, so they do not continue each other's streams.
     """
 
     name: Name
@@ -93,6 +96,7 @@
     checks_fencing: bool = False
     slots: Annotated[int, Field(gt=0)] = 32
     state: ServerState = ServerState.JOINED
+    software_version: Name = COMMON_SOFTWARE
 
 
 @dataclass(frozen=True, config=STRICT)
