--- a/tests/dispatcher_case.py
+++ b/tests/dispatcher_case.py
@@ -5,7 +5,7 @@
 import time
 import unittest
 
-from cassiaford.config import BackendServer, Configuration, ServerKind
+from cassiaford.config import COMMON_SOFTWARE, BackendServer, Configuration, ServerKind
 from cassiaford.logs import Event
 from cassiaford.pipeline import create_dispatcher
 from cassiaford.policy import Placement, PlacementPolicy
@@ -40,9 +40,11 @@
         queue=None,
         versions=None,
         suspects=None,
+        software_versions=(),
         **limits,
     ):
         servers = {}
+        software_versions = software_versions or (COMMON_SOFTWARE,) * len(addresses)
         for number, address in enumerate(addresses):
             for kind in ServerKind:
                 server = BackendServer(
@@ -53,6 +55,7 @@
                     models=("tare",),
                     group="shop",
                     slots=slots,
+                    software_version=software_versions[number],
                 )
                 servers[server.name] = server
         self.configuration = Configuration(revision=1, servers=servers)
