--- /dev/null
+++ b/tests/test_streams_across_instances.py
@@ -0,0 +1,115 @@
+"""Tests that a stream taken up at another instance stays at its software version."""
+
+import asyncio
+
+from standins.platform_worker import Behaviour
+from tests.platform_case import PlatformCase, ResumingCaller, configuration
+
+FIRST_EVENT_END = b"\n\n"
+EVENTS = 8
+STREAMS = 12
+
+
+class StreamsAcrossInstancesTest(PlatformCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.store.put("op/config", configuration())
+        for server_id, version in (
+            ("i-0", "v1"),
+            ("i-1", "v1"),
+            ("j-0", "v1.1"),
+            ("j-1", "v1.1"),
+        ):
+            await self.start_worker(
+                server_id, "engine", software_version=version, events=EVENTS
+            )
+
+    async def start_gateways(self, *names):
+        """Start gateways and wait until they have heard each other."""
+        started = [await self.start_gateway(name) for name in names]
+        await self.wait_until(
+            lambda: all(
+                len(g.table.live(g.loop.time())) == len(started) - 1 for g in started
+            )
+        )
+        return started
+
+    async def kill(self, gateway):
+        """Stop a gateway without its planned stop."""
+        await self._stop_gateway(self.tasks[gateway], gateway)
+
+    def hold_streams(self, count):
+        """Make every engine hold its next streams after their first event."""
+        for worker in self.workers.values():
+            worker.behaviours = [Behaviour.HOLD_STREAM] * count
+
+    def back_off(self, gateway, version):
+        """Make a gateway avoid the engines of a software version."""
+        for key, server in gateway.view.servers["engine"].items():
+            if server.software_version == version:
+                for _ in range(4):
+                    gateway.health.record_unreachable(key, gateway.loop.time())
+
+    async def take_one_event(self, callers, gateway):
+        """Let callers begin or take up their streams, and leave after an event."""
+        self.hold_streams(len(callers))
+        await asyncio.gather(
+            *(c.attempt(gateway, until=FIRST_EVENT_END) for c in callers)
+        )
+
+    async def finish(self, callers, gateway):
+        """Let callers take up their streams to the end."""
+        self.hold_streams(0)
+        return await asyncio.gather(*(c.attempt(gateway) for c in callers))
+
+    def assert_whole(self, callers):
+        for caller in callers:
+            self.assertTrue(caller.finished)
+            self.assertEqual(len(caller.software_versions), 1)
+            numbers = [number for number, _ in caller.events]
+            self.assertEqual(numbers, list(range(1, EVENTS + 1)))
+
+    async def test_streams_go_on_through_the_kills_of_one_instance_after_another(self):
+        names = [f"entry-{number}" for number in range(4)]
+        *killed, last = await self.start_gateways(*names)
+        callers = [ResumingCaller(self) for _ in range(STREAMS)]
+        for number, gateway in enumerate(killed):
+            self.back_off(gateway, ("v1", "v1.1", "v1")[number])
+            await self.take_one_event(callers, gateway)
+            self.assertEqual([len(c.events) for c in callers], [number + 1] * STREAMS)
+            await self.kill(gateway)
+        self.back_off(last, "v1")
+        await self.finish(callers, last)
+        self.assert_whole(callers)
+
+    async def test_a_restarted_instance_learns_where_its_streams_began(self):
+        first, _ = await self.start_gateways("entry-0", "entry-1")
+        callers = [ResumingCaller(self) for _ in range(STREAMS)]
+        await self.take_one_event(callers, first)
+        await self.kill(first)
+        again = await self.start_gateway("entry-0")
+        await self.finish(callers, again)
+        self.assert_whole(callers)
+
+    async def test_an_instance_whose_messages_were_lost_is_asked_itself(self):
+        first, second = await self.start_gateways("entry-0", "entry-1")
+        send, first.origins.send = first.origins.send, lambda data, address: None
+        callers = [ResumingCaller(self) for _ in range(STREAMS)]
+        await self.take_one_event(callers, first)
+        first.origins.send = send
+        await self.finish(callers, second)
+        self.assert_whole(callers)
+
+    async def test_a_stream_that_no_running_instance_knows_ends_visibly(self):
+        first, second = await self.start_gateways("entry-0", "entry-1")
+        callers = [ResumingCaller(self) for _ in range(STREAMS)]
+        await self.take_one_event(callers, first)
+        await self.kill(first)
+        await self.kill(second)
+        third = await self.start_gateway("entry-2")
+        ran_before = sum(len(worker.ran) for worker in self.workers.values())
+        responses = await self.finish(callers, third)
+        self.assertEqual({response.status for response in responses}, {503})
+        self.assertEqual([len(caller.events) for caller in callers], [1] * STREAMS)
+        ran = sum(len(worker.ran) for worker in self.workers.values())
+        self.assertEqual(ran, ran_before)
