--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+from dataclasses import replace
 
 from cassiaford.gateway._attempt import (
     Attempt,
@@ -184,7 +185,7 @@
         # A stream that cannot resume on another server has no idle timeout.
         idle_timeout_s = STREAM_IDLE_TIMEOUT_S if job.route.resumable else None
         first_event_at = last_event_at = None
-        while events := await reader.next(idle_timeout_s):
+        while events := await self._next_events(reader, idle_timeout_s):
             now = self.loop.time()
             if first_event_at is None:
                 first_event_at = now
@@ -206,6 +207,19 @@
             self._send_events(response, b"")
         job.connection.end()
 
+    async def _next_events(self, reader, idle_timeout_s):
+        """Return the next events; raise if another server should send them."""
+        while True:
+            try:
+                return await reader.next(idle_timeout_s)
+            except ExchangeError as error:
+                if error.failure is not Failure.IDLE_TIMEOUT:
+                    raise
+                # A stream that no other server may continue is left to go on.
+                now = self.loop.time()
+                if not self.job.continues or self.chooser.has_another_server(now):
+                    raise
+
     def _send_events(self, response, events):
         job = self.job
         if not job.head_sent:
@@ -278,9 +292,13 @@
 
     def _no_server_refusal(self, now):
         """Return the refusal of a request that no server can serve in time."""
-        if self.job.sends:
-            return self._failure_refusal()
         job = self.job
+        if job.sends:
+            refusal = self._failure_refusal()
+            if job.continues:
+                message = f"{refusal.message}; {self._describe_origin()}"
+                refusal = replace(refusal, message=message)
+            return refusal
         placer = self.context.placer
         return refuse(
             RefusalReason.NO_BACKEND,
@@ -289,6 +307,15 @@
             self._retry_after_s(placer.backoff_remaining_s(job.service, now)),
         )
 
+    def _describe_origin(self):
+        origin = self.job.origin
+        if origin is None:
+            return "no server may continue it, as the software version is unknown"
+        return (
+            "no other server could continue it at the software version"
+            f" {origin.software_version} of {origin.service}, which began it"
+        )
+
     def _describe_shortage(self, now):
         job = self.job
         if job.misses_deadline:
@@ -326,7 +353,7 @@
             sends=job.sends,
             fingerprint=job.fingerprint,
             resume_after=job.resume_after or "",
-            continues_stream=job.head_sent,
+            continues_stream=job.continues,
             software_version=job.origin.software_version if job.origin else "",
         )
 
--- a/src/cassiaford/gateway/_job.py
+++ b/src/cassiaford/gateway/_job.py
@@ -5,8 +5,8 @@
 
 from cassiaford.gateway._caller_connection import CallerConnection
 from cassiaford.gateway._configuration import Customer, Route
-from cassiaford.gateway._messages import HttpRequest, RequestMetadata
-from cassiaford.origins import StreamOrigin
+from cassiaford.gateway._messages import BackendServer, HttpRequest, RequestMetadata
+from cassiaford.origins import StreamOrigin, may_continue
 from cassiaford.suspects import part_fingerprint, request_fingerprint
 from cassiaford.verdict import Failure, Verdict
 
@@ -79,6 +79,15 @@
         allowed_s = self.deadline - self.request.received_at
         return min(self.route.patience_s, allowed_s)
 
+    @property
+    def continues(self) -> bool:
+        """Whether the caller has events of the stream already."""
+        return self.head_sent
+
+    def may_continue_at(self, server: BackendServer) -> bool:
+        """Return whether a server may continue the stream."""
+        return may_continue(self.origin, server.service, server.software_version)
+
     @property
     def has_more_runs(self) -> bool:
         """Whether the request may run once more after its next run."""
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -93,13 +93,35 @@
         tried: set[int],
         route: Route,
         now: float,
+        may_continue: Callable[[BackendServer], bool] | None = None,
     ) -> Choice | None:
-        """Return the best usable backend server of a service, or None."""
+        """Return the best usable backend server of a service, or None.
+
+        `may_continue` returns whether a server fits a stream that has begun, and
+        is None for a request that has not. Few servers may fit a stream, so one
+        that is avoided otherwise is better than none.
+        """
         servers = {
             key: server
             for key, server in self._reachable(service, now).items()
             if key not in tried
         }
+        if may_continue is None:
+            return self._choose_among(servers, metadata, customer, route, now)
+        fitting = {
+            key: server
+            for key, server in self.view.servers.get(service, {}).items()
+            if key not in tried and may_continue(server)
+        }
+        reachable = {key: s for key, s in fitting.items() if key in servers}
+        out_of_use = {k: s for k, s in reachable.items() if k in self.out_of_use}
+        for group in (reachable, out_of_use, fitting):
+            choice = self._choose_among(group, metadata, customer, route, now)
+            if choice is not None:
+                return choice
+        return None
+
+    def _choose_among(self, servers, metadata, customer, route, now):
         if metadata.is_generation:
             return self._choose_engine(servers, metadata, customer, route, now)
         plain = [
--- a/src/cassiaford/gateway/_server_chooser.py
+++ b/src/cassiaford/gateway/_server_chooser.py
@@ -40,7 +40,7 @@
 
     def _should_wait(self, choice, now):
         job = self.job
-        if choice.placement is None or job.head_sent:
+        if choice.placement is None or job.continues:
             # Plain services have no prefill to wait for, and a stream that has
             # started must not pause.
             return False
@@ -69,7 +69,13 @@
     def _best_choice(self, now):
         job = self.job
         return self.context.placer.choose(
-            job.service, job.metadata, job.customer, job.tried_servers, job.route, now
+            job.service,
+            job.metadata,
+            job.customer,
+            job.tried_servers,
+            job.route,
+            now,
+            job.may_continue_at if job.continues else None,
         )
 
     def _misses_deadline(self, choice, now):
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -82,6 +82,36 @@
         self.placer.record_start(choice, request, None, now)
         return choice.key
 
+    def fitting(self, *keys, now=10.0):
+        """Return the key of the server chosen for a stream that these fit."""
+        addresses = {f"h:{key}" for key in keys}
+        choice = self.placer.choose(
+            "engine",
+            request_metadata(1, 1500, 90),
+            None,
+            set(),
+            TAG,
+            now,
+            lambda server: server.address in addresses,
+        )
+        return choice and choice.key
+
+    def test_a_begun_stream_goes_only_where_it_fits(self):
+        self.assertEqual([self.fitting(1), self.fitting(2)], [1, 2])
+        self.assertIsNone(self.fitting())
+
+    def test_a_begun_stream_goes_to_a_server_that_is_avoided_rather_than_nowhere(self):
+        for _ in range(3):
+            self.placer.health.record_unreachable(2, 9.9)
+        self.assertEqual(self.fitting(2), 2)
+        self.assertEqual(self.fitting(1, 2), 1)
+        self.placer.out_of_use = frozenset({1})
+        self.assertEqual(self.fitting(1, 2), 1)
+
+    def test_a_begun_stream_never_goes_to_weights_that_are_past_their_bound(self):
+        self.placer.weights_grace_s = 0.5
+        self.assertIsNone(self.fitting(2))
+
     def test_new_weights_are_preferred_on_idle_engines(self):
         self.assertEqual(self.place(request_metadata(1, 1500, 90), TAG, 10.0), 1)
 
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -5,7 +5,10 @@
 """
 
 import asyncio
+from unittest import mock
 
+from cassiaford.gateway import _exchange
+from cassiaford.gateway._server_chooser import ServerChooser
 from cassiaford.logs import Event
 from standins.platform_worker import Behaviour
 from tests.dispatcher_case import DispatcherCase
@@ -111,6 +114,27 @@
         self.assertFalse(response.complete)
         self.assertEqual(sum(len(worker.ran) for worker in nameless), 1)
 
+    async def test_an_idle_answer_that_no_server_may_continue_is_left_to_go_on(self):
+        chosen = await self.first_choice()
+        chosen.behaviours = [Behaviour.HOLD_STREAM]
+        await self.remove(self.mate_of(chosen))
+        caller = ResumingCaller(self)
+        with (
+            mock.patch.object(_exchange, "STREAM_IDLE_TIMEOUT_S", 0.01),
+            mock.patch.object(
+                ServerChooser,
+                "has_another_server",
+                autospec=True,
+                side_effect=ServerChooser.has_another_server,
+            ) as asked,
+        ):
+            attempt = asyncio.create_task(caller.attempt(self.gateway))
+            await self.wait_until(lambda: asked.call_count >= 3)
+            chosen.released.set()
+            await attempt
+        self.assertTrue(caller.finished)
+        self.assertEqual(caller.software_versions, {chosen.software_version})
+
     async def test_a_request_without_an_event_is_sent_to_any_version(self):
         chosen = await self.first_choice()
         chosen.behaviours = [Behaviour.CRASH]
