--- a/src/cassiaford/origins/_table.py
+++ b/src/cassiaford/origins/_table.py
@@ -8,7 +8,7 @@
 from cassiaford.origins._origin import StreamOrigin
 
 # Callers take a stream up within the deadline of their request.
-ORIGIN_TTL_S = 120.0
+ORIGIN_TTL_S = 600.0
 # Those that were not used for longest are dropped first.
 MAX_ORIGINS = 20_000
 
