--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -34,6 +34,8 @@
 # Minimum Retry-After of a refusal for lack of servers. A random factor of up to
 # two spreads the retries.
 MIN_RETRY_AFTER_S = 0.15
+# A server that crashed is back after some seconds, mostly with the same software.
+VERSION_ABSENT_S = 1.0
 
 
 class _AttemptOutcome(enum.Enum):
@@ -59,15 +61,43 @@
     async def run(self) -> Refusal | None:
         """Serve the request; return a refusal if nothing of it was served."""
         job = self.job
-        budget = self.context.budgets[job.service]
-        budget.record_request(self.loop.time())
         try:
             async with asyncio.timeout_at(job.deadline):
+                if job.taken_up:
+                    refusal = await self._find_origin()
+                    if refusal is not None:
+                        return refusal
+                budget = self.context.budgets[job.service]
+                budget.record_request(self.loop.time())
                 return await self._send_until_served(budget)
         except TimeoutError:
             job.failure = Failure.REQUEST_TIMEOUT
             return self._failure_refusal(RefusalReason.BACKEND_TIMEOUT)
 
+    async def _find_origin(self):
+        """Find where the caller's stream began; return a refusal if it may not go on."""
+        job = self.job
+        context = self.context
+        resumes = job.metadata.resumes
+        if resumes is not None:
+            job.origin = await context.origins.find(resumes)
+        if job.origin is None:
+            job.origin = context.sole_origins.find(job.route, self.loop.time())
+        if job.origin is None:
+            return refuse(
+                RefusalReason.STREAM_ORIGIN_UNKNOWN,
+                self._describe_origin(),
+                self._retry_after_s(0.0),
+            )
+        if all(target.service != job.origin.service for target in job.route.targets):
+            return refuse(
+                RefusalReason.NO_BACKEND,
+                f"the route no longer leads to {job.origin.service},"
+                " which began the stream",
+            )
+        job.service = job.origin.service
+        return None
+
     async def _send_until_served(self, budget):
         job = self.job
         while True:
@@ -99,6 +129,8 @@
         )
         placer = self.context.placer
         placer.record_start(choice, job.metadata, job.customer, self.loop.time())
+        if job.route.kind is RequestKind.STREAM and job.route.resumable:
+            self.context.origins.record(job.first_attempt_id, choice.server.origin)
         try:
             response = await self._receive_response(attempt, choice)
             if response is None:
@@ -195,7 +227,7 @@
             else:
                 job.longest_pause_s = max(job.longest_pause_s, now - last_event_at)
             last_event_at = now
-            if not job.head_sent:
+            if not job.continues:
                 job.origin = choice.server.origin
             self._send_events(response, events)
             await job.connection.drain()
@@ -272,6 +304,8 @@
         job = self.job
         if not job.has_more_runs:
             return None
+        if job.continues and not self.chooser.has_another_server(self.loop.time()):
+            return None
         timeout_s = STALL_TIMEOUT_FACTOR * job.route.target_latency_s
         return max(MIN_STALL_TIMEOUT_S, min(timeout_s, MAX_STALL_TIMEOUT_S))
 
@@ -300,20 +334,21 @@
                 refusal = replace(refusal, message=message)
             return refusal
         placer = self.context.placer
-        return refuse(
-            RefusalReason.NO_BACKEND,
-            placer.explain(job.service, job.metadata, job.tried_servers, now)
-            + self._describe_shortage(now),
-            self._retry_after_s(placer.backoff_remaining_s(job.service, now)),
-        )
+        wait_s = placer.backoff_remaining_s(job.service, now)
+        cause = placer.explain(job.service, job.metadata, job.tried_servers, now)
+        cause += self._describe_shortage(now)
+        if job.continues:
+            wait_s = VERSION_ABSENT_S
+            cause += f"; {self._describe_origin()}"
+        return refuse(RefusalReason.NO_BACKEND, cause, self._retry_after_s(wait_s))
 
     def _describe_origin(self):
         origin = self.job.origin
         if origin is None:
-            return "no server may continue it, as the software version is unknown"
+            return "it is unknown which software version began the stream"
         return (
-            "no other server could continue it at the software version"
-            f" {origin.software_version} of {origin.service}, which began it"
+            f"only software version {origin.software_version} of {origin.service},"
+            " which began the stream, may continue it"
         )
 
     def _describe_shortage(self, now):
--- a/src/cassiaford/gateway/_exchange_context.py
+++ b/src/cassiaford/gateway/_exchange_context.py
@@ -9,6 +9,7 @@
 from cassiaford.gateway._placer import Placer
 from cassiaford.gateway._prober import ServerProber
 from cassiaford.gateway._server_connection import ConnectionPool
+from cassiaford.gateway._stream_origins import SoleOrigins, StreamOrigins
 from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import RetryBudget, ServerHealth
 
@@ -27,3 +28,5 @@
     budgets: dict[str, RetryBudget]
     log: EventLog
     rng: random.Random
+    origins: StreamOrigins
+    sole_origins: SoleOrigins
--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -21,6 +21,7 @@
 from cassiaford.gateway._prober import ServerProber
 from cassiaford.gateway._server_connection import ConnectionPool
 from cassiaford.gateway._settings import RetryLimits
+from cassiaford.gateway._stream_origins import SoleOrigins, StreamOrigins
 from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import FleetRates, RetryBudget, ServerHealth
 from cassiaford.logs import Event
@@ -66,6 +67,8 @@
         log: EventLog,
         metrics: Metrics,
         rng: random.Random,
+        origins: StreamOrigins,
+        sole_origins: SoleOrigins,
     ):
         self.dialect = dialect
         self.view = view
@@ -75,7 +78,18 @@
         self.metrics = metrics
         self.rng = rng
         self.context = ExchangeContext(
-            dialect, view, placer, health, prober, pool, crashes, {}, log, rng
+            dialect,
+            view,
+            placer,
+            health,
+            prober,
+            pool,
+            crashes,
+            {},
+            log,
+            rng,
+            origins,
+            sole_origins,
         )
         self.instance_count: Callable[[], int | None] = lambda: 1
         self.state_ages: Callable[[], dict[str, object]] = dict
@@ -151,7 +165,10 @@
             connection=connection,
             deadline=request.received_at + allowed_s,
         )
-        self._ensure_budget(job.service)
+        if job.taken_up:
+            job.resume_after = metadata.resume_after
+        for target in route.targets:
+            self._ensure_budget(target.service)
         refusal = self._charge(job)
         if refusal is not None:
             return _Rejection(refusal, metadata.attempt_id, route.name, customer.name)
@@ -296,7 +313,7 @@
         self.log.write(Event.CALLER_LEFT, **self._log_fields(job, took_s))
 
     def _log_fields(self, job, took_s):
-        return {
+        fields = {
             "request_id": job.metadata.attempt_id,
             "route": job.route.name,
             "customer": job.customer.name if job.customer else "",
@@ -313,6 +330,12 @@
             "status": job.status,
             "verdict": job.verdict.value,
         }
+        if job.taken_up:
+            fields["resumes"] = job.metadata.resumes or ""
+            fields["software_version"] = (
+                job.origin.software_version if job.origin else ""
+            )
+        return fields
 
 
 def customer_class(customer: Customer | None) -> str:
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -32,6 +32,7 @@
 from cassiaford.gateway._prober import PrefixStoreProber, ServerProber
 from cassiaford.gateway._registration import Registration
 from cassiaford.gateway._settings import GatewaySettings
+from cassiaford.gateway._stream_origins import LocalStreamOrigins, SoleOrigins
 from cassiaford.gateway._tasks import run_with_restarts
 from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import (
@@ -179,6 +180,7 @@
 
     def _create_front(self):
         settings = self.settings
+        self.origins = LocalStreamOrigins(self.loop.time)
         self.placer = Placer(
             view=self.view,
             engines=self.engines,
@@ -203,6 +205,8 @@
             log=self.log,
             metrics=self.metrics,
             rng=self.rng,
+            origins=self.origins,
+            sole_origins=SoleOrigins(self.view, self._in_touch_since),
         )
         if not settings.first_start:
             now = self.loop.time()
@@ -381,6 +385,13 @@
         self.health.retain(keys)
         self._update_readiness()
 
+    def _in_touch_since(self, moment):
+        """Return whether no change of the servers has been missed since a time."""
+        age_s = self.sync.age_s(self.adapter.records.servers_prefix)
+        if age_s is None or age_s > self.settings.changes_within_s:
+            return False
+        return self.sync.reachable_since(moment)
+
     def _instance_count(self):
         """Return the size of the fleet, or None before its entries were read."""
         if not self.mirror.revisions[OWN_PREFIX]:
--- a/src/cassiaford/gateway/_job.py
+++ b/src/cassiaford/gateway/_job.py
@@ -4,7 +4,7 @@
 from functools import cached_property
 
 from cassiaford.gateway._caller_connection import CallerConnection
-from cassiaford.gateway._configuration import Customer, Route
+from cassiaford.gateway._configuration import Customer, RequestKind, Route
 from cassiaford.gateway._messages import BackendServer, HttpRequest, RequestMetadata
 from cassiaford.origins import StreamOrigin, may_continue
 from cassiaford.suspects import part_fingerprint, request_fingerprint
@@ -19,8 +19,8 @@
     `runs` those that may have run; `tried_servers` has the keys of all servers tried.
     `expected_first_token_s` is the server's expected time to the first token, and
     `first_byte_s` the time from receipt to the first byte sent to the caller.
-    `resume_after` is the identifier of the last event sent, and `origin` that of
-    the server whose event was sent first, None while unknown. `misses_deadline`
+    `resume_after` is the identifier of the caller's last event, and `origin` that of
+    the server whose event was the caller's first, None while unknown. `misses_deadline`
     is set if no server could start the response before the deadline.
     """
 
@@ -82,7 +82,18 @@
     @property
     def continues(self) -> bool:
         """Whether the caller has events of the stream already."""
-        return self.head_sent
+        return self.head_sent or self.taken_up
+
+    @property
+    def taken_up(self) -> bool:
+        """Whether the caller takes up a stream that another attempt began."""
+        return self.route.kind is RequestKind.STREAM and self.metadata.takes_up
+
+    @property
+    def first_attempt_id(self) -> str:
+        """The identifier of the attempt that brings the stream's first event."""
+        metadata = self.metadata
+        return metadata.resumes or metadata.attempt_id
 
     def may_continue_at(self, server: BackendServer) -> bool:
         """Return whether a server may continue the stream."""
--- a/src/cassiaford/gateway/_messages.py
+++ b/src/cassiaford/gateway/_messages.py
@@ -39,7 +39,9 @@
     """The metadata in the headers of a request.
 
     `deadline_s` is how long the caller waits after sending. `parts` are the
-    prompt's parts in order; the last one belongs to this request only.
+    prompt's parts in order; the last one belongs to this request only. A caller
+    that takes a stream up again names its last event in `resume_after`, and in
+    `resumes` the attempt that brought its first event.
     """
 
     attempt_id: str
@@ -50,6 +52,13 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
+    resume_after: str | None = None
+    resumes: str | None = None
+
+    @property
+    def takes_up(self) -> bool:
+        """Whether the caller has events of a stream that it takes up again."""
+        return self.resume_after is not None or self.resumes is not None
 
     @property
     def is_generation(self) -> bool:
--- a/src/cassiaford/gateway/_stream_origins.py
+++ b/src/cassiaford/gateway/_stream_origins.py
@@ -3,12 +3,16 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-from cassiaford.origins import StreamOrigin
+from cassiaford.gateway._configuration import Route
+from cassiaford.gateway._view import View
+from cassiaford.origins import StreamOrigin, origin_of
 
 # Callers take a stream up within the deadline of their request.
 ORIGIN_KEPT_S = 600.0
 # About 4 MB; the oldest are dropped first.
 MAX_ORIGINS = 20_000
+# All tries of a caller together may take longer than the route allows for one.
+LONGEST_REQUEST_FACTOR = 2.0
 
 
 class StreamOrigins(ABC):
@@ -69,3 +73,35 @@
             if recorded_at >= oldest_at and len(self._entries) <= self.max_origins:
                 return
             del self._entries[attempt_id]
+
+
+class SoleOrigins:
+    """Finds the origin of a stream where only one software version can be it.
+
+    `in_touch_since` returns whether the instance has known of all changes of
+    servers and routes since a time.
+    """
+
+    def __init__(self, view: View, in_touch_since: Callable[[float], bool]):
+        self.view = view
+        self.in_touch_since = in_touch_since
+
+    def find(self, route: Route, now: float) -> StreamOrigin | None:
+        """Return the origin of any stream of a route, or None if uncertain."""
+        begun_after = now - self._longest_request_s()
+        if not self.in_touch_since(begun_after):
+            return None
+        service = _only(self.view.recent_targets.since(route.name, begun_after))
+        if service is None:
+            return None
+        software = self.view.recent_software.since(service, begun_after)
+        return origin_of(service, _only(software))
+
+    def _longest_request_s(self):
+        routes = self.view.configuration.routes
+        return LONGEST_REQUEST_FACTOR * max(route.timeout_s for route in routes)
+
+
+def _only(values):
+    """Return the only one of some values, or None."""
+    return next(iter(values)) if values is not None and len(values) == 1 else None
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -11,7 +11,13 @@
 from cassiaford.gateway._messages import BackendServer
 from cassiaford.gateway._mirror import MirrorListener
 from cassiaford.gateway._store import Change
-from cassiaford.gateway.policy import FleetRates, Limit, NamedVersions, ServerRegistry
+from cassiaford.gateway.policy import (
+    FleetRates,
+    Limit,
+    NamedVersions,
+    RecentValues,
+    ServerRegistry,
+)
 from cassiaford.logs import Event
 
 
@@ -29,7 +35,9 @@
     """The configuration in force, the backend servers, and the named versions.
 
     `replaced_keys` are the servers whose address another server has taken over
-    before their entries are gone. The gateway sets the callbacks.
+    before their entries are gone. `recent_software` has the software versions of
+    each service lately, and `recent_targets` the services of each route. The
+    gateway sets the callbacks.
     """
 
     def __init__(self, decoder: RecordDecoder, rates: FleetRates, log: EventLog):
@@ -43,6 +51,8 @@
         self.replaced_keys: set[int] = set()
         self._serving: dict[int, BackendServer] = {}
         self.named_versions = NamedVersions()
+        self.recent_software = RecentValues()
+        self.recent_targets = RecentValues()
         self.on_versions_changed: Callable[[int], None] = lambda key: None
         self.on_own_key_changed: Callable[[Change], None] = lambda change: None
         self.on_server_ended: Callable[[BackendServer], None] = lambda server: None
@@ -117,6 +127,10 @@
             return
         self.configuration = configuration
         self.routes = RouteTable(configuration.routes)
+        self.recent_targets.update(
+            {r.name: {t.service for t in r.targets} for r in configuration.routes},
+            self.now(),
+        )
         limits = {
             name: Limit(customer.rate, customer.burst)
             for name, customer in configuration.customers.items()
@@ -199,8 +213,15 @@
         previous, self._serving = self._serving, serving
         for key in previous.keys() - keys:
             self.on_server_ended(previous[key])
+        self._record_software()
         self.on_servers_changed()
 
+    def _record_software(self):
+        versions = {}
+        for server in self.registry.servers.values():
+            versions.setdefault(server.service, set()).add(server.software_version)
+        self.recent_software.update(versions, self.now())
+
 
 def _newest_by_address(servers):
     """Return the servers without those whose address another one has taken.
--- a/src/cassiaford/gateway/policy/__init__.py
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -16,6 +16,7 @@
 from cassiaford.gateway.policy._late_requests import WaitingPrompts, should_wait
 from cassiaford.gateway.policy._named_versions import NamedVersions
 from cassiaford.gateway.policy._peer_table import PeerState, PeerTable
+from cassiaford.gateway.policy._recent_values import RecentValues
 from cassiaford.gateway.policy._registry import ServerRegistry
 from cassiaford.gateway.policy._retry_budget import RetryBudget
 from cassiaford.gateway.policy._rollout import LoadOrder, Rollout, RolloutServer
@@ -39,6 +40,7 @@
     "Placement",
     "PlainServer",
     "Prefix",
+    "RecentValues",
     "RetryBudget",
     "Rollout",
     "RolloutServer",
--- /dev/null
+++ b/src/cassiaford/gateway/policy/_recent_values.py
@@ -0,0 +1,45 @@
+"""The values that keys have had lately."""
+
+from collections.abc import Hashable, Mapping
+
+# Ended values are kept for longer than any request lasts.
+ENDED_KEPT_S = 3600.0
+
+
+class RecentValues:
+    """The values that each key has, and those that it had lately.
+
+    Examples
+    --------
+    >>> versions = RecentValues()
+    >>> versions.update({"chat": {"v1"}}, now=0.0)
+    >>> versions.update({"chat": {"v2"}}, now=10.0)
+    >>> sorted(versions.since("chat", 5.0)), sorted(versions.since("chat", 11.0))
+    (['v1', 'v2'], ['v2'])
+    >>> versions.since("chat", -1.0) is None
+    True
+    """
+
+    def __init__(self):
+        self.started_at: float | None = None
+        self.current: dict[Hashable, frozenset] = {}
+        self.ended: dict[tuple[Hashable, Hashable], float] = {}
+
+    def update(self, values: Mapping[Hashable, set], now: float) -> None:
+        """Set the values of all keys."""
+        if self.started_at is None:
+            self.started_at = now
+        current = {key: frozenset(held) for key, held in values.items()}
+        for key, held in self.current.items():
+            for value in held - current.get(key, frozenset()):
+                self.ended[key, value] = now
+        self.current = current
+        oldest = now - ENDED_KEPT_S
+        self.ended = {pair: at for pair, at in self.ended.items() if at >= oldest}
+
+    def since(self, key: Hashable, moment: float) -> frozenset | None:
+        """Return the values that a key has had since a moment, None if unknown."""
+        if self.started_at is None or self.started_at > moment:
+            return None
+        ended = {v for (k, v), at in self.ended.items() if k == key and at >= moment}
+        return self.current.get(key, frozenset()) | ended
--- a/src/cassiaford/platform/_dialect.py
+++ b/src/cassiaford/platform/_dialect.py
@@ -59,6 +59,8 @@
             prompt_tokens=prompt,
             output_tokens=output,
             parts=_parts(headers.get("x-prompt-prefix")),
+            resume_after=headers.get("last-event-id") or None,
+            resumes=headers.get("resumes") or None,
         )
 
     def forwarded_headers(
--- a/src/cassiaford/verdict/_refusal.py
+++ b/src/cassiaford/verdict/_refusal.py
@@ -37,6 +37,7 @@
     DEADLINE = ("deadline_cannot_be_met", 503, "overloaded_error")
     RETRIES_EXHAUSTED = ("retries_exhausted", 503, "overloaded_error")
     NO_BACKEND = ("no_backend_server", 503, "overloaded_error")
+    STREAM_ORIGIN_UNKNOWN = ("stream_origin_unknown", 503, "overloaded_error")
     CLAIMS_UNAVAILABLE = ("claims_unavailable", 503, "overloaded_error")
     CONFIGURATION_STALE = ("configuration_stale", 503, "overloaded_error")
     STARTING = ("instance_starting", 503, "overloaded_error")
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -13,7 +13,13 @@
 from standins.platform_worker import Behaviour
 from tests.dispatcher_case import DispatcherCase
 from tests.fakes import full_stream, model_request
-from tests.platform_case import PlatformCase, ResumingCaller, configuration
+from tests.platform_case import (
+    MODEL,
+    PlatformCase,
+    ResumingCaller,
+    configuration,
+    route,
+)
 from tests.stream_scripts import EVENTS, WHOLE, broken_stream
 
 FIRST_EVENT_END = b"\n\n"
@@ -238,6 +244,52 @@
         self.assertEqual([len(c.software_versions) for c in callers], [1] * 12)
 
 
+class SplitRouteTest(PlatformCase):
+    async def test_a_stream_is_taken_up_at_the_service_that_began_it(self):
+        split = [
+            {"Service": "engine", "Weight": 1},
+            {"Service": "engine-b", "Weight": 1},
+        ]
+        ask = route("ask", "/ask/", "streaming", "engine", Resumable=True)
+        routes = [{**ask, "TrafficSplit": split}]
+        await self.store.put("op/config", configuration(Routes=routes))
+        await self.start_worker("i-0", "engine", software_version="v1")
+        other = await self.start_worker("j-0", "engine-b", software_version="v7")
+        other.versions = {MODEL: 1}
+        await self.register(other)
+        for worker in self.workers.values():
+            worker.behaviours = [Behaviour.HOLD_STREAM] * 8
+        gateway = await self.start_gateway()
+        callers = [ResumingCaller(self) for _ in range(8)]
+        await asyncio.gather(
+            *(c.attempt(gateway, until=FIRST_EVENT_END) for c in callers)
+        )
+        self.assertEqual({c.events[0][1] for c in callers}, {"v1", "v7"})
+        for worker in self.workers.values():
+            worker.behaviours = []
+        await asyncio.gather(*(caller.attempt(gateway) for caller in callers))
+        self.assertEqual([c.finished for c in callers], [True] * 8)
+        self.assertEqual([len(c.software_versions) for c in callers], [1] * 8)
+
+
+class SoleVersionTest(PlatformCase):
+    async def test_an_unknown_stream_goes_on_where_one_version_has_served(self):
+        await self.store.put("op/config", configuration())
+        worker = await self.start_worker("i-0", "engine")
+        gateway = await self.start_gateway()
+        headers = {"Last_Event_Id": "1", "Resumes": "never-seen"}
+        response = await self.call_engine(gateway, **headers)
+        self.assertEqual((response.status, worker.calls), (503, []))
+        # The instance has watched for longer than any request lasts.
+        gateway.view.recent_software.started_at -= 100.0
+        gateway.view.recent_targets.started_at -= 100.0
+        for headers in (headers, {"Last_Event_Id": "1"}):
+            response = await self.call_engine(gateway, **headers)
+            self.assertEqual((response.status, response.complete), (200, True))
+            self.assertNotIn(b"id: 1\n", response.body)
+            self.assertEqual(worker.calls[-1].headers["last-event-id"], "1")
+
+
 class ReplayTest(DispatcherCase):
     """The product's own path, which replays a lost stream at another server."""
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -2,9 +2,16 @@
 
 import asyncio
 import json
+import types
 import unittest
 
-from cassiaford.gateway._stream_origins import LocalStreamOrigins
+from cassiaford.gateway import Configuration, RequestKind, Route, Target
+from cassiaford.gateway._stream_origins import (
+    LONGEST_REQUEST_FACTOR,
+    LocalStreamOrigins,
+    SoleOrigins,
+)
+from cassiaford.gateway.policy import RecentValues
 from cassiaford.origins import StreamOrigin, may_continue
 from cassiaford.platform._records import PlatformRecordDecoder
 
@@ -84,5 +91,61 @@
         self.assertEqual(len(self.origins), 0)
 
 
+ROUTE = Route("ask", "a", "/", RequestKind.STREAM, (Target("engine", 1.0),), 10.0, 1.0)
+OLDEST = 100.0 - LONGEST_REQUEST_FACTOR * ROUTE.timeout_s
+
+
+class SoleOriginsTest(unittest.TestCase):
+    """At 100 s, for requests that last for 10 s."""
+
+    def setUp(self):
+        self.software = RecentValues()
+        self.targets = RecentValues()
+        self.in_touch_since = 0.0
+        view = types.SimpleNamespace(
+            recent_software=self.software,
+            recent_targets=self.targets,
+            configuration=Configuration(1, (ROUTE,), {}),
+        )
+        self.origins = SoleOrigins(view, lambda since: self.in_touch_since <= since)
+        self.software.update({"engine": {"v1"}}, 0.0)
+        self.targets.update({"ask": {"engine"}}, 0.0)
+
+    def find(self):
+        return self.origins.find(ROUTE, 100.0)
+
+    def test_one_version_for_long_enough_is_certain(self):
+        self.assertEqual(self.find(), ORIGIN)
+
+    def test_a_version_that_may_have_begun_the_stream_makes_it_uncertain(self):
+        self.software.update({"engine": {"v1", "v2"}}, OLDEST + 1.0)
+        self.assertIsNone(self.find())
+        self.software.update({"engine": {"v1"}}, OLDEST + 2.0)
+        self.assertIsNone(self.find())
+
+    def test_a_version_that_ended_before_any_request_began_does_not_count(self):
+        self.software.update({"engine": {"v1", "v2"}}, 1.0)
+        self.software.update({"engine": {"v1"}}, OLDEST - 1.0)
+        self.assertEqual(self.find(), ORIGIN)
+
+    def test_a_server_of_an_unknown_version_makes_it_uncertain(self):
+        self.software.update({"engine": {None}}, 1.0)
+        self.assertIsNone(self.find())
+        self.software.update({"engine": {"v1", None}}, 1.0)
+        self.assertIsNone(self.find())
+
+    def test_a_change_of_the_route_makes_it_uncertain(self):
+        self.targets.update({"ask": {"other"}}, 1.0)
+        self.targets.update({"ask": {"engine"}}, OLDEST + 1.0)
+        self.assertIsNone(self.find())
+
+    def test_an_instance_that_may_have_missed_a_version_knows_nothing(self):
+        self.in_touch_since = OLDEST + 1.0
+        self.assertIsNone(self.find())
+        self.in_touch_since = 0.0
+        self.software.started_at = OLDEST + 1.0
+        self.assertIsNone(self.find())
+
+
 if __name__ == "__main__":
     unittest.main()
