--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -33,6 +33,7 @@
 from cassiaford.gateway._registration import Registration
 from cassiaford.gateway._settings import GatewaySettings
 from cassiaford.gateway._shared_origins import SharedStreamOrigins
+from cassiaford.gateway._stream_origins import SoleOrigins
 from cassiaford.gateway._tasks import run_with_restarts
 from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import (
@@ -46,7 +47,6 @@
 )
 from cassiaford.logs import Event
 from cassiaford.metrics import Metrics
-from cassiaford.origins import origin_of
 
 # Short batch window: reloaded engines stay out of use until their entries are seen.
 SERVER_BATCH_WINDOW_S = 0.12
@@ -208,6 +208,8 @@
             log=self.log,
             metrics=self.metrics,
             rng=self.rng,
+            origins=self.origins,
+            sole_origins=SoleOrigins(self.view, self._in_touch_since),
         )
         if not settings.first_start:
             now = self.loop.time()
@@ -386,14 +388,21 @@
         self.health.retain(keys)
         self.origins.remember(
             {
-                origin
-                for service, servers in self.view.servers.items()
+                server.origin
+                for servers in self.view.servers.values()
                 for server in servers.values()
-                if (origin := origin_of(service, server.software_version))
+                if server.origin is not None
             }
         )
         self._update_readiness()
 
+    def _in_touch_since(self, moment):
+        """Return whether no change of the servers has been missed since a time."""
+        age_s = self.sync.age_s(self.adapter.records.servers_prefix)
+        if age_s is None or age_s > self.settings.changes_within_s:
+            return False
+        return self.sync.reachable_since(moment)
+
     def _instance_count(self):
         """Return the size of the fleet, or None before its entries were read."""
         if not self.mirror.revisions[OWN_PREFIX]:
