--- a/src/cassiaford/gateway/_stream_origins.py
+++ b/src/cassiaford/gateway/_stream_origins.py
@@ -7,10 +7,6 @@
 from cassiaford.gateway._view import View
 from cassiaford.origins import StreamOrigin, origin_of
 
-# Callers take a stream up within the deadline of their request.
-ORIGIN_KEPT_S = 600.0
-# About 4 MB; the oldest are dropped first.
-MAX_ORIGINS = 20_000
 # All tries of a caller together may take longer than the route allows for one.
 LONGEST_REQUEST_FACTOR = 2.0
 
@@ -32,49 +28,6 @@
         """Return where the stream of an attempt began, or None if uncertain."""
 
 
-class LocalStreamOrigins(StreamOrigins):
-    """The origins of the streams that this instance sent.
-
-    `now` returns the time in seconds.
-    """
-
-    def __init__(
-        self,
-        now: Callable[[], float],
-        max_origins: int = MAX_ORIGINS,
-        kept_s: float = ORIGIN_KEPT_S,
-    ):
-        self.now = now
-        self.max_origins = max_origins
-        self.kept_s = kept_s
-        self._entries: dict[str, tuple[float, StreamOrigin]] = {}
-
-    def __len__(self):
-        return len(self._entries)
-
-    def record(self, attempt_id: str, origin: StreamOrigin | None) -> None:
-        """Record where a caller's attempt is sent."""
-        # Removed first, so that the entries stay in the order of their times.
-        self._entries.pop(attempt_id, None)
-        if origin is not None:
-            self._entries[attempt_id] = (self.now(), origin)
-        self._expire()
-
-    async def find(self, attempt_id: str) -> StreamOrigin | None:
-        """Return where the stream of an attempt of this instance began."""
-        self._expire()
-        entry = self._entries.get(attempt_id)
-        return entry[1] if entry is not None else None
-
-    def _expire(self):
-        oldest_at = self.now() - self.kept_s
-        while self._entries:
-            attempt_id, (recorded_at, _) = next(iter(self._entries.items()))
-            if recorded_at >= oldest_at and len(self._entries) <= self.max_origins:
-                return
-            del self._entries[attempt_id]
-
-
 class SoleOrigins:
     """Finds the origin of a stream where only one software version can be it.
 
--- a/tests/test_shared_origins.py
+++ b/tests/test_shared_origins.py
@@ -94,6 +94,13 @@
         self.assertIsNone(table.find("a", 22.0))
         self.assertEqual(len(table), 0)
 
+    def test_an_origin_is_forgotten_right_after_its_time(self):
+        table = OriginTable(ttl_s=10.0)
+        table.record("a", V1, 0.0)
+        self.assertEqual(table.find("a", 10.0).origin, D1)
+        self.assertIsNone(table.find("a", 20.1))
+        self.assertEqual(len(table), 0)
+
 
 class OwnersTest(unittest.TestCase):
     def test_memberships_that_differ_by_one_agree_within_one_more_owner(self):
@@ -339,6 +346,28 @@
 
         run_in_virtual_time(run())
 
+    def test_the_oldest_of_an_instances_own_streams_are_dropped_first(self):
+        async def run():
+            origins = SharedStreamOrigins(PeerTable(), OriginTable(max_origins=3))
+            for attempt_id in "abcad":
+                origins.record(attempt_id, V1)
+            self.assertIsNone(await origins.find("b"))
+            for attempt_id in "acd":
+                self.assertEqual(await origins.find(attempt_id), V1)
+            self.assertEqual(len(origins.origins), 3)
+
+        run_in_virtual_time(run())
+
+    def test_a_stream_that_seems_to_begin_twice_is_unknown(self):
+        async def run():
+            for origin in (V2, None):
+                origins = SharedStreamOrigins(PeerTable())
+                origins.record("a", V1)
+                origins.record("a", origin)
+                self.assertIsNone(await origins.find("a"))
+
+        run_in_virtual_time(run())
+
     def test_an_instance_alone_answers_at_once(self):
         async def run():
             origins = Network().start("entry-0")
