--- a/src/cassiaford/pipeline/_body.py
+++ b/src/cassiaford/pipeline/_body.py
@@ -27,9 +27,12 @@
 
     `feed` and `end` return the failure that the body shows, or None.
     `start_response` is called once, before the first byte is sent to the
-    caller; it returns the head to write before that byte.
+    caller; it returns the head to write before that byte. `replays` is whether
+    the response starts a stream anew of which the caller has events.
     """
 
+    replays = False
+
     def __init__(
         self,
         caller: CallerConnection,
@@ -133,6 +136,7 @@
         self.splitter = EventSplitter()
         self.expected = list(job.progress.history) if replay else []
         self.expected.reverse()
+        self.replays = replay
 
     def feed(self, data: bytes) -> Failure | None:
         """Relay the events that are complete."""
--- a/src/cassiaford/pipeline/_dispatch.py
+++ b/src/cassiaford/pipeline/_dispatch.py
@@ -202,6 +202,12 @@
         with self._changed:
             return self.waiting.budget.decide(job.failed_request(), self.clock())
 
+    def may_continue(self, job: Job) -> bool:
+        """Return whether the job's server, as configured now, fits its stream."""
+        # A server that starts a stream anew may have been replaced meanwhile.
+        server = self.waiting.configuration().servers.get(job.server.name)
+        return server is not None and job.may_continue_at(server)
+
     def requeue(self, job: Job) -> Refusal | None:
         """Queue a job again, ahead of those that wait for their first attempt."""
         event = Event.REQUEST_RETRIED if job.resume_at is None else Event.STREAM_RESUMED
--- a/src/cassiaford/pipeline/_exchange.py
+++ b/src/cassiaford/pipeline/_exchange.py
@@ -177,7 +177,7 @@
         received = self.job.progress.received
         failure = self.body.feed(data)
         if self.job.progress.received > received:
-            self.job.resumes = 0
+            self.job.record_event()
         if failure is not None:
             self.attempt_failed(failure)
 
@@ -282,7 +282,9 @@
     def _start_relay(self, head):
         self.status = head.status
         self.body = create_body_relay(self.job, self.caller, self._start_response, head)
-        if self.body is None:
+        if self.body is None or (
+            self.body.replays and not self.owner.may_continue(self.job)
+        ):
             self.attempt_failed(Failure.DIVERGED)
 
     def _start_response(self, length):
--- a/src/cassiaford/pipeline/_job.py
+++ b/src/cassiaford/pipeline/_job.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from cassiaford.config import BackendServer
+from cassiaford.origins import StreamOrigin, may_continue, origin_of
 from cassiaford.pipeline._messages import AdmittedRequest, Outcome, Timings, Usage
 from cassiaford.pipeline._upstream import UpstreamRequest
 from cassiaford.policy import (
@@ -108,6 +109,7 @@
         self.last_failure: Failure | None = None
         self.has_exchange = False
         self.abandoned = False
+        self.origin: StreamOrigin | None = None
         self.response_copy = ResponseCopy(enabled=not request.repeatable)
         deterministic = upstream.streaming and _is_deterministic(request)
         self.progress = StreamProgress(request.repeatable and deterministic)
@@ -124,6 +126,20 @@
         if not self.servers or self.servers[-1] != server.name:
             self.servers.append(server.name)
 
+    def record_event(self) -> None:
+        """Record that an event has arrived; the first one settles the origin."""
+        self.resumes = 0
+        if self.origin is None:
+            model = self.request.call.model.name
+            self.origin = origin_of(model, self.server.software_version)
+
+    def may_continue_at(self, server: BackendServer) -> bool:
+        """Return whether a server may run the job, given the events sent so far."""
+        if self.progress.received == 0:
+            return True
+        model = self.request.call.model.name
+        return may_continue(self.origin, model, server.software_version)
+
     def record_placement(self, queue_wait_s: float, placement_s: float) -> None:
         """Record how long the request was queued, and how long placing it took."""
         self.timings = replace(
--- a/src/cassiaford/pipeline/_owner.py
+++ b/src/cassiaford/pipeline/_owner.py
@@ -18,6 +18,10 @@
     def decide_retry(self, job: Job) -> RetryDecision:
         """Return whether a job may be sent to another server."""
 
+    @abstractmethod
+    def may_continue(self, job: Job) -> bool:
+        """Return whether the job's server, as configured now, fits its stream."""
+
     @abstractmethod
     def requeue(self, job: Job) -> Refusal | None:
         """Queue a job for another attempt, or return why that is refused."""
--- a/src/cassiaford/pipeline/_refusals.py
+++ b/src/cassiaford/pipeline/_refusals.py
@@ -25,6 +25,8 @@
             wait_s,
         )
     text = f"{job.last_failure.text}; no other backend server is available"
+    if job.origin is not None:
+        text += f" of software version {job.origin.software_version}"
     return Refusal(_reason(job.verdict, job.last_failure), job.verdict, text, wait_s)
 
 
--- a/src/cassiaford/pipeline/_waiting.py
+++ b/src/cassiaford/pipeline/_waiting.py
@@ -157,8 +157,11 @@
 
     def _candidate_servers(self, job):
         """Return the servers that could run a job."""
-        servers = self._configured_servers(job)
-        return tuple(s for s in servers if s.name not in job.excluded)
+        return tuple(
+            server
+            for server in self._configured_servers(job)
+            if server.name not in job.excluded and job.may_continue_at(server)
+        )
 
     def _configured_servers(self, job):
         configuration = self.configuration()
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 from unittest import mock
 
 from cassiaford.gateway import _exchange
@@ -12,7 +13,7 @@
 from cassiaford.logs import Event
 from standins.platform_worker import Behaviour
 from tests.dispatcher_case import DispatcherCase
-from tests.fakes import full_stream, model_request
+from tests.fakes import DONE, full_stream, model_request
 from tests.platform_case import (
     MODEL,
     PlatformCase,
@@ -323,3 +324,35 @@
         self.assertEqual(response.body, WHOLE)
         self.assertEqual(outcome.servers, ("engine-0", "engine-2"))
         self.assertEqual(second.requests, [])
+
+    def ask_while_software_changes(self, second_script):
+        """Break a stream, change its server's software version, and go on."""
+
+        def change_software(connection):
+            servers = setup.configuration.servers
+            changed = replace(servers["engine-0"], software_version="v1.1")
+            setup.configuration = replace(
+                setup.configuration, servers={**servers, "engine-0": changed}
+            )
+            connection.wait_closed()
+
+        server = self.serve(broken_stream(3, change_software), second_script)
+        setup = self.dispatch(server, software_versions=("v1",))
+        response, _ = setup.ask(model_request())
+        self.assertEqual([request.offset for request in server.requests], [None, 3])
+        return response
+
+    def test_a_server_that_starts_a_stream_anew_may_have_changed_its_software(self):
+        response = self.ask_while_software_changes(full_stream(*EVENTS))
+        self.assertFalse(response.complete)
+        self.assertTrue(response.body.startswith(b"".join(EVENTS[:3]) + b"data: {"))
+
+    def test_a_server_that_resumes_a_stream_at_its_offset_is_the_one_that_began_it(
+        self,
+    ):
+        def resume(connection):
+            connection.stream_head(x_resume_offset=connection.request.offset)
+            connection.events(*EVENTS[3:], DONE)
+            connection.end()
+
+        self.assertEqual(self.ask_while_software_changes(resume).body, WHOLE)
