--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -66,7 +66,11 @@
 
 
 class Mirror:
-    """A copy of sections of the store, from the store or from a peer's mirror."""
+    """A copy of sections of the store, from the store or from a peer's mirror.
+
+    While it is `replacing` a section, the listener gets changes whose time is
+    unknown.
+    """
 
     def __init__(self, sections: tuple[Section, ...], listener: MirrorListener):
         self.sections = sections
@@ -75,6 +79,7 @@
         self.revisions: dict[str, int] = {s.prefix: 0 for s in sections}
         self.eras: dict[str, int] = {s.prefix: 0 for s in sections}
         self.era = 0
+        self.replacing = False
 
     def replace(self, prefix: str, page: Page, era: int) -> None:
         """Replace all items of a section, unless it is newer by era and revision.
@@ -83,13 +88,11 @@
         """
         if (era, page.revision) < self._position(prefix):
             return
-        items = self.items[prefix]
-        for key in set(items) - {item.key for item in page.items}:
-            del items[key]
-            self.listener.on_change(Change(key, page.revision, None))
-        for item in page.items:
-            if items.get(item.key) != item:
-                self._put(prefix, item)
+        self.replacing = True
+        try:
+            self._replace_items(prefix, page)
+        finally:
+            self.replacing = False
         self.eras[prefix] = era
         self.revisions[prefix] = page.revision
 
@@ -146,6 +149,15 @@
         current = set(self.eras.values()) == {self.era}
         return current and all(self.revisions.values())
 
+    def _replace_items(self, prefix, page):
+        items = self.items[prefix]
+        for key in set(items) - {item.key for item in page.items}:
+            del items[key]
+            self.listener.on_change(Change(key, page.revision, None))
+        for item in page.items:
+            if items.get(item.key) != item:
+                self._put(prefix, item)
+
     def _position(self, prefix):
         return self.eras[prefix], self.revisions[prefix]
 
@@ -161,6 +173,10 @@
     is false from the first failed call until each failed client has a response.
     An outage ends with the first response to any client, since a watch may wait
     for long before it has one.
+
+    Calls also fail when just their connections are lost or the instance was
+    suspended. Then the next watch returns in time, so `stable_since` counts only
+    outages that have lasted for the shortest lag.
     """
 
     def __init__(
@@ -181,6 +197,9 @@
         self.last_response_at: float | None = None
         self.lost_at: float | None = None
         self.in_outage = False
+        self.last_outage_ended_at = float("-inf")
+        self.outage_began_at = 0.0
+        self.min_outage_s = min(section.max_lag_s for section in mirror.sections)
 
     def age_s(self, prefix: str) -> float | None:
         """Return the seconds since a section was last confirmed, None if never."""
@@ -192,9 +211,9 @@
         """Whether the store has responded to every client's latest call."""
         return self.last_response_at is not None and not self.failing
 
-    def reachable_since(self, moment: float) -> bool:
-        """Return whether the store has been reachable since a time."""
-        return self.reachable and (self.lost_at is None or self.lost_at < moment)
+    def stable_since(self) -> float:
+        """Return when the last outage ended, or the present time during one."""
+        return self.clock() if self._is_long_outage() else self.last_outage_ended_at
 
     async def run(self) -> None:
         """Follow every section until cancelled."""
@@ -248,6 +267,7 @@
         if self.mirror.era:
             self.log.write(Event.KEY_VALUE_RESTORED, era=era)
             self.mirror.listener.on_store_recovered()
+            self.last_outage_ended_at = self.clock()
         self.mirror.era = era
 
     async def _watch(self, section):
@@ -279,6 +299,8 @@
 
     def record_success(self, client: str) -> None:
         """Record the response to a call of a client of the store."""
+        if self._is_long_outage():
+            self.last_outage_ended_at = self.clock()
         self.last_response_at = self.clock()
         if self.in_outage:
             self.in_outage = False
@@ -305,7 +327,12 @@
         self.failing.add(client)
         if not self.in_outage and not self._has_responded_since(started_at):
             self.in_outage = True
+            self.outage_began_at = self.clock()
             self.mirror.listener.on_store_lost()
 
+    def _is_long_outage(self):
+        lasted_s = self.clock() - self.outage_began_at
+        return self.in_outage and lasted_s >= self.min_outage_s
+
     def _has_responded_since(self, moment):
         return self.last_response_at is not None and self.last_response_at > moment
--- a/src/cassiaford/gateway/policy/__init__.py
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -14,7 +14,11 @@
 from cassiaford.gateway.policy._fleet_rates import FleetRates, Limit
 from cassiaford.gateway.policy._generation import GenerationRequest, Prefix
 from cassiaford.gateway.policy._late_requests import WaitingPrompts, should_wait
-from cassiaford.gateway.policy._named_versions import NamedVersions
+from cassiaford.gateway.policy._named_versions import (
+    NamedVersions,
+    VersionAge,
+    VersionSource,
+)
 from cassiaford.gateway.policy._peer_table import PeerState, PeerTable
 from cassiaford.gateway.policy._recent_values import RecentValues
 from cassiaford.gateway.policy._registry import ServerRegistry
@@ -22,6 +26,7 @@
 from cassiaford.gateway.policy._rollout import LoadOrder, Rollout, RolloutServer
 from cassiaford.gateway.policy._server_health import ServerHealth
 from cassiaford.gateway.policy._service_placer import PlainServer, ServicePlacer
+from cassiaford.gateway.policy._weights_bound import WeightsBound
 
 __all__ = [
     "BrokenRequest",
@@ -47,6 +52,9 @@
     "ServerHealth",
     "ServerRegistry",
     "ServicePlacer",
+    "VersionAge",
+    "VersionSource",
     "WaitingPrompts",
+    "WeightsBound",
     "should_wait",
 ]
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -39,6 +39,7 @@
     SNAPSHOT_WRITTEN = (1106, Level.INFO, "configuration snapshot written")
 
     VERSION_NAMED = (1107, Level.INFO, "version of weights named")
+    VERSION_AGE_CORRECTED = (1109, Level.INFO, "age of a named version corrected")
     PEER_COPY_APPLIED = (1108, Level.INFO, "newer state copied from a peer")
 
     # 12xx: requests.
@@ -48,6 +49,7 @@
     REQUEST_FAILED = (1205, Level.WARNING, "request failed after its start")
     REQUEST_RETRIED = (1206, Level.INFO, "request retried")
     CALLER_LEFT = (1207, Level.INFO, "caller closed the connection")
+    REPLACED_WEIGHTS_USED = (1208, Level.INFO, "request sent to replaced weights")
 
     # 13xx: backend servers and streams.
     SERVER_SUSPECTED = (1301, Level.WARNING, "backend server suspected")
