--- a/src/cassiaford/gateway/_peer_codec.py
+++ b/src/cassiaford/gateway/_peer_codec.py
@@ -6,7 +6,7 @@
 
 from cassiaford._schemas import load_schema
 from cassiaford.gateway._store import Item, Page
-from cassiaford.gateway.policy import PeerState, PlacedWork
+from cassiaford.gateway.policy import PeerState, PlacedWork, VersionAge
 from cassiaford.origins import OriginRecord
 from cassiaford.suspects import (
     AnsweredParts,
@@ -21,6 +21,9 @@
 
 # Bounds the work that one message about origins makes.
 MAX_ORIGIN_ITEMS = 16
+# Fields of 32 and 64 bits.
+MAX_AGE_MS = (1 << 32) - 1
+MAX_VERSION = (1 << 64) - 1
 
 
 class PeerMessageError(ValueError):
@@ -32,7 +35,8 @@
     """The report that an instance sends to its peers several times a second.
 
     `work`, `out_of_use` and `unreachable` name backend servers by digest,
-    `spending` customers, and `placements` prefixes and engines. `suspicions` are
+    `spending` customers, `placements` prefixes and engines, and `version_ages`
+    models. `suspicions` are
     about the requests that were running on crashed servers. Only a whole
     report has the sender's state and its estimate of the prefill speed; others
     identify the sender by its digest and contain only changes.
@@ -50,6 +54,7 @@
     unreachable: frozenset[int] = frozenset()
     placements: tuple[tuple[int, int], ...] = ()
     suspicions: tuple[Suspicions, ...] = ()
+    version_ages: tuple[VersionAge, ...] = ()
 
     @property
     def whole(self) -> bool:
@@ -105,6 +110,7 @@
         entry.customer = customer
         entry.tokens = tokens
     _encode_suspicions(message, report.suspicions)
+    _encode_version_ages(message, report.version_ages)
     return message.to_bytes_packed()
 
 
@@ -164,6 +170,9 @@
         unreachable=frozenset(message.unreachable),
         placements=tuple((p.unit, p.server) for p in message.placements),
         suspicions=_suspicions(message),
+        version_ages=tuple(
+            VersionAge(v.model, v.version, v.ageMs / 1000) for v in message.versionAges
+        ),
     )
 
 
@@ -195,6 +204,19 @@
     ]
 
 
+def _encode_version_ages(message, ages):
+    message.versionAges = [
+        {
+            "model": age.model,
+            "version": age.version,
+            # Rounded down: no version may become older on its way.
+            "ageMs": min(int(age.age_s * 1000), MAX_AGE_MS),
+        }
+        for age in ages
+        if 0 <= age.version <= MAX_VERSION
+    ]
+
+
 def _suspicions(message):
     crashes = (
         CrashReport(
--- a/src/cassiaford/gateway/_server_chooser.py
+++ b/src/cassiaford/gateway/_server_chooser.py
@@ -75,9 +75,15 @@
             job.tried_servers,
             job.route,
             now,
+            self._may_withdraw(now),
             job.may_continue_at if job.continues else None,
         )
 
+    def _may_withdraw(self, now):
+        """Return whether the request may be sent elsewhere after its next run."""
+        budget = self.context.budgets[self.job.service]
+        return self.job.has_more_runs and budget.allows(now, self.instances)
+
     def _misses_deadline(self, choice, now):
         """Return whether the deadline passes before the expected first token."""
         return now + choice.first_token_s > self.job.deadline
--- a/src/cassiaford/gateway/peers.capnp
+++ b/src/cassiaford/gateway/peers.capnp
@@ -40,6 +40,12 @@
   parts @0 :List(UInt64);    # refused where all of them are in one prompt
 }
 
+struct VersionAge {
+  model @0 :UInt32;          # digest of the model's name
+  version @1 :UInt64;
+  ageMs @2 :UInt32;          # since it was named, as far as the sender knows
+}
+
 struct StreamOrigin {
   attempt @0 :UInt64;       # digest of the attempt that brought the first event
   origin @1 :UInt64;        # digest of service and software version; 0: ambiguous
@@ -74,7 +80,8 @@
   cleared @17 :List(Cleared);
   refusedParts @18 :List(PartGroup);
   answeredParts @19 :List(UInt64);  # since they were reported with a crash
-  origins @20 :Origins;     # alone, without a sequence, so that older releases drop it
+  versionAges @20 :List(VersionAge);
+  origins @21 :Origins;     # alone, without a sequence, so that older releases drop it
 }
 
 # An instance's copy of a part of the store, for a peer whose calls to the store fail.
--- a/src/cassiaford/verdict/_failure.py
+++ b/src/cassiaford/verdict/_failure.py
@@ -23,6 +23,11 @@
         Verdict.NOT_RUN,
         RefusalReason.RETRIES_EXHAUSTED,
     )
+    WEIGHTS_REPLACED = (
+        "the engine's weights were replaced too long ago to send it the request",
+        Verdict.NOT_RUN,
+        RefusalReason.RETRIES_EXHAUSTED,
+    )
     UNSENDABLE = (
         "the request cannot be written as HTTP",
         Verdict.NOT_RUN,
@@ -38,6 +43,11 @@
         Verdict.NOT_RUN,
         RefusalReason.RETRIES_EXHAUSTED,
     )
+    WITHDRAWN = (
+        "withdrawn unstarted, since newer weights must be in use by now",
+        Verdict.MAY_HAVE_RUN,
+        RefusalReason.BACKEND_FAILED,
+    )
     SEND_FAILED = (
         "the connection broke while the request was sent",
         Verdict.MAY_HAVE_RUN,
