--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -338,7 +338,7 @@
     def _forwarding(self, choice: Choice) -> Forwarding:
         job = self.job
         customer = job.customer
-        version = choice.server.versions.get(job.metadata.model or "")
+        version = self._expected_version(choice)
         return Forwarding(
             server=choice.server,
             customer=customer.name if customer is not None else None,
@@ -350,6 +350,16 @@
             resume_after=job.resume_after,
         )
 
+    def _expected_version(self, choice):
+        """Return the weights that a server must have for the request, or None.
+
+        If its entry does not tell, these are the newest, as replaced ones may be
+        overdue.
+        """
+        model = self.job.metadata.model or ""
+        newest = self.context.view.named_versions.newest(model) or None
+        return choice.server.versions.get(model, newest)
+
     def _no_server_refusal(self, now):
         """Return the refusal of a request that no server can serve in time."""
         job = self.job
@@ -360,7 +370,7 @@
                 refusal = replace(refusal, message=message)
             return refusal
         placer = self.context.placer
-        wait_s = placer.backoff_remaining_s(job.service, now)
+        wait_s = placer.available_in_s(job.service, job.metadata, now)
         cause = placer.explain(job.service, job.metadata, job.tried_servers, now)
         cause += self._describe_shortage(now)
         if job.continues:
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -9,10 +9,12 @@
 from cassiaford.gateway._messages import BackendServer, RequestMetadata
 from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import (
+    START_MARGIN_S,
     DecodeTimes,
     EnginePlacer,
     EngineView,
     GenerationRequest,
+    LoadTimes,
     Placement,
     PlainServer,
     Prefix,
@@ -31,9 +33,8 @@
 REMOTE_COST_S = 0.03
 # An engine that is about to load new weights will lose its cached prefixes.
 PENDING_LOAD_COST_S = 0.1
-# Under load a request may start this much later than expected. One that may be
-# withdrawn from replaced weights needs less time than one that may not.
-START_MARGIN_S = 1.0
+# A request that may be withdrawn from replaced weights needs less time there than
+# one that may not.
 WITHDRAWABLE_START_MARGIN_S = 0.5
 # Time until an engine notices that a request was withdrawn.
 WITHDRAWAL_MARGIN_S = 0.25
@@ -87,6 +88,7 @@
         self.weights_bound = weights_bound
         self.rng = rng
         self.decode_times = DecodeTimes()
+        self.load_times = LoadTimes()
         self.waiting = WaitingPrompts()
         self.out_of_use: frozenset[int] = frozenset()
         self.unreachable_stores: frozenset[str] = frozenset()
@@ -215,14 +217,27 @@
             self.engines.record_rejection(metadata.attempt_id, choice.placement)
         self.health.record_rejection(choice.key, now)
 
-    def backoff_remaining_s(self, service: str, now: float) -> float:
-        """Return the seconds until the first server gets requests again."""
+    def available_in_s(
+        self, service: str, metadata: RequestMetadata, now: float
+    ) -> float:
+        """Return the seconds until the first server may get a request again."""
         servers = self.view.servers.get(service, {})
         return min(
-            (self.health.backoff_remaining_s(key, now) for key in servers),
+            (
+                max(
+                    self.health.backoff_remaining_s(key, now),
+                    self._load_remaining_s(key, server, metadata, now),
+                )
+                for key, server in servers.items()
+            ),
             default=1.0,
         )
 
+    def _load_remaining_s(self, key, server, metadata, now):
+        if now <= self._last_start(server, metadata, now) - START_MARGIN_S:
+            return 0.0
+        return self.load_times.remaining_s(key, now)
+
     def explain(
         self, service: str, metadata: RequestMetadata, tried: set[int], now: float
     ) -> str:
@@ -248,7 +263,12 @@
     def _choose_engine(self, servers, metadata, customer, route, now, may_withdraw):
         margin_s = _start_margin_s(may_withdraw)
         spec = _engine_spec(self.view.configuration, servers)
-        in_use = {key: s for key, s in servers.items() if key not in self.out_of_use}
+        usable = {
+            key: server
+            for key, server in servers.items()
+            if now <= self._last_start(server, metadata, now) - margin_s
+        }
+        in_use = {key: s for key, s in usable.items() if key not in self.out_of_use}
         views = [
             EngineView(
                 key,
@@ -263,8 +283,7 @@
                 spec.link_bytes_per_s / spec.token_bytes if spec.token_bytes else 0.0,
                 self._last_start(server, metadata, now) - margin_s,
             )
-            for key, server in (in_use or servers).items()
-            if now <= self._last_start(server, metadata, now) - margin_s
+            for key, server in (in_use or usable).items()
         ]
         request = self._generation(metadata, customer, route.target_latency_s)
         versions = {
