--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -24,6 +24,7 @@
     ORDERER_KEY,
     OWN_PREFIX,
     SUSPECTS_PREFIX,
+    VERSIONS_PREFIX,
     OwnKeys,
 )
 from cassiaford.gateway._peers import PeerReports
@@ -35,8 +36,10 @@
 from cassiaford.gateway._shared_origins import SharedStreamOrigins
 from cassiaford.gateway._stream_origins import SoleOrigins
 from cassiaford.gateway._tasks import run_with_restarts
+from cassiaford.gateway._version_terms import VersionTerms
 from cassiaford.gateway._view import View
 from cassiaford.gateway.policy import (
+    START_MARGIN_S,
     EnginePlacer,
     FleetRates,
     PeerState,
@@ -44,7 +47,6 @@
     Rollout,
     ServerHealth,
     ServicePlacer,
-    WeightsBound,
 )
 from cassiaford.logs import Event
 from cassiaford.metrics import Metrics
@@ -112,9 +114,7 @@
         self.rates = FleetRates(self.settings.rate_window_s)
         self.table = PeerTable()
         self.view = View(self.adapter.records, self.rates, self.log)
-        self.weights_bound = WeightsBound(
-            self.view.named_versions, self.settings.weights_within_s
-        )
+        self.rollout = Rollout(self.view.named_versions, self.settings.weights_within_s)
         self.view.on_versions_changed = self.engines.clear_cached_prefixes
         self.view.on_servers_changed = self._servers_changed
         self.view.on_configuration_changed = self._update_readiness
@@ -130,7 +130,7 @@
         self.mirror = Mirror(sections, self.view)
         self.view.is_reading = lambda: self.mirror.replacing
         self.sync = MirrorSync(self.mirror, self.adapter.store, self.rng, self.log)
-        self.weights_bound.stable_since = self.sync.stable_since
+        self.rollout.bound.stable_since = self.sync.stable_since
         self.registration = Registration(
             INSTANCES_PREFIX + self.state.name,
             self.state,
@@ -144,11 +144,20 @@
             view=self.view,
             store=self.adapter.store,
             control=self.adapter.control,
-            rollout=Rollout(self.view.named_versions, self.settings.weights_within_s),
+            rollout=self.rollout,
             rng=self.rng,
             sync=self.sync,
             log=self.log,
         )
+        self.terms = VersionTerms(
+            VERSIONS_PREFIX,
+            self.settings.weights_within_s - START_MARGIN_S,
+            self.view,
+            self.adapter.store,
+            self.sync,
+        )
+        self.terms.may_write = lambda: self.orderer.holds_lease
+        self.terms.is_complete = lambda: self.mirror.complete
         self.orderer.running_tokens = self.engines.running_tokens
         self.orderer.unstarted = self.engines.unstarted
         self.orderer.demand = self.engines.demand
@@ -172,7 +181,12 @@
         self.origins.send = self.peers.send
         self.peers.on_origins = self.origins.receive
         self.view.on_own_key_changed = OwnKeys(
-            self.table, self.registration, self.orderer, self.crashes, self.log
+            self.table,
+            self.registration,
+            self.orderer,
+            self.crashes,
+            self.terms,
+            self.log,
         ).on_change
         self.prober = ServerProber(self.view, self.health, self.adapter.pool, self.log)
         self.prober.on_refused = self.crashes.record_server_end
@@ -196,7 +210,7 @@
             services=self.services,
             health=self.health,
             data_centre=settings.data_centre,
-            weights_bound=self.weights_bound,
+            weights_bound=self.rollout.bound,
             rng=self.rng,
         )
         self.placer.on_placement = self.peers.record_placement
@@ -239,6 +253,7 @@
             self.sync.run,
             self.registration.run,
             self.orderer.run,
+            self.terms.run,
             self.peers.run,
             self.crashes.run,
             self.store_prober.run,
@@ -278,7 +293,7 @@
         unchanged = settings.addresses == addresses
         self.settings = replace(settings, addresses=addresses)
         self.front.set_retry_limits(settings.retry_limits)
-        self.orderer.rollout.deadline_s = settings.weights_within_s
+        self.rollout.bound.within_s = settings.weights_within_s
         self.log.write(Event.SETTINGS_RELOADED, addresses_kept=unchanged)
 
     @property
@@ -373,7 +388,8 @@
         self.placer.unreachable_stores = self.store_prober.unreachable
 
     def _out_of_use_changed(self):
-        self.placer.out_of_use = self.peers.all_out_of_use()
+        out_of_use = self.placer.out_of_use = self.peers.all_out_of_use()
+        self.placer.load_times.update(out_of_use, self.loop.time())
 
     def _remove_peer(self, name):
         self.log.write(Event.MEMBER_LOST, peer=name)
--- a/src/cassiaford/gateway/policy/__init__.py
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -14,6 +14,7 @@
 from cassiaford.gateway.policy._fleet_rates import FleetRates, Limit
 from cassiaford.gateway.policy._generation import GenerationRequest, Prefix
 from cassiaford.gateway.policy._late_requests import WaitingPrompts, should_wait
+from cassiaford.gateway.policy._load_times import LoadTimes
 from cassiaford.gateway.policy._named_versions import (
     NamedVersions,
     VersionAge,
@@ -26,9 +27,10 @@
 from cassiaford.gateway.policy._rollout import LoadOrder, Rollout, RolloutServer
 from cassiaford.gateway.policy._server_health import ServerHealth
 from cassiaford.gateway.policy._service_placer import PlainServer, ServicePlacer
-from cassiaford.gateway.policy._weights_bound import WeightsBound
+from cassiaford.gateway.policy._weights_bound import START_MARGIN_S, WeightsBound
 
 __all__ = [
+    "START_MARGIN_S",
     "BrokenRequest",
     "CrashEvidence",
     "DecodeTimes",
@@ -38,6 +40,7 @@
     "GenerationRequest",
     "Limit",
     "LoadOrder",
+    "LoadTimes",
     "NamedVersions",
     "PeerState",
     "PeerTable",
