--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+from dataclasses import replace
 
 from cassiaford.gateway._attempt import (
     Attempt,
@@ -34,6 +35,8 @@
 # Minimum Retry-After of a refusal for lack of servers. A random factor of up to
 # two spreads the retries.
 MIN_RETRY_AFTER_S = 0.15
+# A server that crashed is back after some seconds, mostly with the same software.
+VERSION_ABSENT_S = 1.0
 
 
 class _AttemptOutcome(enum.Enum):
@@ -59,15 +62,43 @@
     async def run(self) -> Refusal | None:
         """Serve the request; return a refusal if nothing of it was served."""
         job = self.job
-        budget = self.context.budgets[job.service]
-        budget.record_request(self.loop.time())
         try:
             async with asyncio.timeout_at(job.deadline):
+                if job.taken_up:
+                    refusal = await self._find_origin()
+                    if refusal is not None:
+                        return refusal
+                budget = self.context.budgets[job.service]
+                budget.record_request(self.loop.time())
                 return await self._send_until_served(budget)
         except TimeoutError:
             job.failure = Failure.REQUEST_TIMEOUT
             return self._failure_refusal(RefusalReason.BACKEND_TIMEOUT)
 
+    async def _find_origin(self):
+        """Find where the stream began; return a refusal if it may not go on."""
+        job = self.job
+        context = self.context
+        resumes = job.metadata.resumes
+        if resumes is not None:
+            job.origin = await context.origins.find(resumes)
+        if job.origin is None:
+            job.origin = context.sole_origins.find(job.route, self.loop.time())
+        if job.origin is None:
+            return refuse(
+                RefusalReason.STREAM_ORIGIN_UNKNOWN,
+                self._describe_origin(),
+                self._retry_after_s(0.0),
+            )
+        if all(target.service != job.origin.service for target in job.route.targets):
+            return refuse(
+                RefusalReason.NO_BACKEND,
+                f"the route no longer leads to {job.origin.service},"
+                " which began the stream",
+            )
+        job.service = job.origin.service
+        return None
+
     async def _send_until_served(self, budget):
         job = self.job
         while True:
@@ -190,7 +221,7 @@
         idle_timeout_s = STREAM_IDLE_TIMEOUT_S if job.route.resumable else None
         first_event_at = last_event_at = None
         async with self._start_limit(choice):
-            events = await reader.next(idle_timeout_s)
+            events = await self._next_events(reader, idle_timeout_s)
         while events:
             now = self.loop.time()
             if first_event_at is None:
@@ -201,9 +232,11 @@
             else:
                 job.longest_pause_s = max(job.longest_pause_s, now - last_event_at)
             last_event_at = now
+            if not job.head_sent:
+                self._settle_origin(choice)
             self._send_events(response, events)
             await job.connection.drain()
-            events = await reader.next(idle_timeout_s)
+            events = await self._next_events(reader, idle_timeout_s)
         if first_event_at is not None:
             self.context.placer.record_response(
                 job.route, first_event_at, self.loop.time()
@@ -212,6 +245,27 @@
             self._send_events(response, b"")
         job.connection.end()
 
+    def _settle_origin(self, choice):
+        """Record where the stream began, before its caller sees an event."""
+        job = self.job
+        if not job.continues:
+            job.origin = choice.server.origin
+        if job.route.resumable:
+            self.context.origins.record(job.first_attempt_id, job.origin)
+
+    async def _next_events(self, reader, idle_timeout_s):
+        """Return the next events; raise if another server should send them."""
+        while True:
+            try:
+                return await reader.next(idle_timeout_s)
+            except ExchangeError as error:
+                if error.failure is not Failure.IDLE_TIMEOUT:
+                    raise
+                # A stream that no other server may continue is left to go on.
+                now = self.loop.time()
+                if not self.job.continues or self.chooser.has_another_server(now):
+                    raise
+
     def _send_events(self, response, events):
         job = self.job
         if not job.head_sent:
@@ -282,6 +336,8 @@
         job = self.job
         if not job.has_more_runs:
             return None
+        if job.continues and not self.chooser.has_another_server(self.loop.time()):
+            return None
         timeout_s = STALL_TIMEOUT_FACTOR * job.route.target_latency_s
         return max(MIN_STALL_TIMEOUT_S, min(timeout_s, MAX_STALL_TIMEOUT_S))
 
@@ -312,15 +368,29 @@
 
     def _no_server_refusal(self, now):
         """Return the refusal of a request that no server can serve in time."""
-        if self.job.sends:
-            return self._failure_refusal()
         job = self.job
+        if job.sends:
+            refusal = self._failure_refusal()
+            if job.continues:
+                message = f"{refusal.message}; {self._describe_origin()}"
+                refusal = replace(refusal, message=message)
+            return refusal
         placer = self.context.placer
-        return refuse(
-            RefusalReason.NO_BACKEND,
-            placer.explain(job.service, job.metadata, job.tried_servers, now)
-            + self._describe_shortage(now),
-            self._retry_after_s(placer.available_in_s(job.service, job.metadata, now)),
+        wait_s = placer.available_in_s(job.service, job.metadata, now)
+        cause = placer.explain(job.service, job.metadata, job.tried_servers, now)
+        cause += self._describe_shortage(now)
+        if job.continues:
+            wait_s = VERSION_ABSENT_S
+            cause += f"; {self._describe_origin()}"
+        return refuse(RefusalReason.NO_BACKEND, cause, self._retry_after_s(wait_s))
+
+    def _describe_origin(self):
+        origin = self.job.origin
+        if origin is None:
+            return "it is unknown which software version began the stream"
+        return (
+            f"only software version {origin.software_version} of {origin.service},"
+            " which began the stream, may continue it"
         )
 
     def _describe_shortage(self, now):
@@ -363,6 +433,8 @@
             sends=job.sends,
             fingerprint=job.fingerprint,
             resume_after=job.resume_after or "",
+            continues_stream=job.continues,
+            software_version=job.origin.software_version if job.origin else "",
         )
 
 
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -33,6 +33,8 @@
 from cassiaford.gateway._prober import PrefixStoreProber, ServerProber
 from cassiaford.gateway._registration import Registration
 from cassiaford.gateway._settings import GatewaySettings
+from cassiaford.gateway._shared_origins import SharedStreamOrigins
+from cassiaford.gateway._stream_origins import SoleOrigins
 from cassiaford.gateway._tasks import run_with_restarts
 from cassiaford.gateway._version_terms import VersionTerms
 from cassiaford.gateway._view import View
@@ -175,6 +177,9 @@
             self.log,
         )
         self.crashes.on_crash = self.peers.send_report
+        self.origins = SharedStreamOrigins(self.table)
+        self.origins.send = self.peers.send
+        self.peers.on_origins = self.origins.receive
         self.view.on_own_key_changed = OwnKeys(
             self.table,
             self.registration,
@@ -222,6 +227,8 @@
             log=self.log,
             metrics=self.metrics,
             rng=self.rng,
+            origins=self.origins,
+            sole_origins=SoleOrigins(self.view, self._in_touch_since),
         )
         if not settings.first_start:
             now = self.loop.time()
@@ -400,8 +407,23 @@
         keys = {key for servers in self.view.servers.values() for key in servers}
         self.engines.retain(keys)
         self.health.retain(keys)
+        self.origins.remember(
+            {
+                server.origin
+                for servers in self.view.servers.values()
+                for server in servers.values()
+                if server.origin is not None
+            }
+        )
         self._update_readiness()
 
+    def _in_touch_since(self, moment):
+        """Return whether no change of the servers has been missed since a time."""
+        age_s = self.sync.age_s(self.adapter.records.servers_prefix)
+        if age_s is None or age_s > self.settings.changes_within_s:
+            return False
+        return self.sync.stable_since() <= moment
+
     def _instance_count(self):
         """Return the size of the fleet, or None before its entries were read."""
         if not self.mirror.revisions[OWN_PREFIX]:
--- a/src/cassiaford/gateway/_job.py
+++ b/src/cassiaford/gateway/_job.py
@@ -4,8 +4,9 @@
 from functools import cached_property
 
 from cassiaford.gateway._caller_connection import CallerConnection
-from cassiaford.gateway._configuration import Customer, Route
-from cassiaford.gateway._messages import HttpRequest, RequestMetadata
+from cassiaford.gateway._configuration import Customer, RequestKind, Route
+from cassiaford.gateway._messages import BackendServer, HttpRequest, RequestMetadata
+from cassiaford.origins import StreamOrigin, may_continue
 from cassiaford.suspects import part_fingerprint, request_fingerprint
 from cassiaford.verdict import Failure, Verdict
 
@@ -18,8 +19,9 @@
     `runs` those that may have run; `tried_servers` has the keys of all servers tried.
     `expected_first_token_s` is the server's expected time to the first token, and
     `first_byte_s` the time from receipt to the first byte sent to the caller.
-    `resume_after` is the identifier of the last event sent. `misses_deadline` is
-    set if no server could start the response before the deadline.
+    `resume_after` is the identifier of the caller's last event, and `origin` that of
+    the server whose event was the caller's first, None while unknown. `misses_deadline`
+    is set if no server could start the response before the deadline.
     """
 
     request: HttpRequest = field(repr=False)
@@ -34,6 +36,7 @@
     verdict: Verdict = Verdict.NOT_RUN
     tried_servers: set[int] = field(default_factory=set)
     resume_after: str | None = None
+    origin: StreamOrigin | None = None
     head_sent: bool = False
     failure: Failure | None = None
     server_id: str = ""
@@ -76,6 +79,26 @@
         allowed_s = self.deadline - self.request.received_at
         return min(self.route.patience_s, allowed_s)
 
+    @property
+    def continues(self) -> bool:
+        """Whether the caller has events of the stream already."""
+        return self.head_sent or self.taken_up
+
+    @property
+    def taken_up(self) -> bool:
+        """Whether the caller takes up a stream that another attempt began."""
+        return self.route.kind is RequestKind.STREAM and self.metadata.takes_up
+
+    @property
+    def first_attempt_id(self) -> str:
+        """The identifier of the attempt that brings the stream's first event."""
+        metadata = self.metadata
+        return metadata.resumes or metadata.attempt_id
+
+    def may_continue_at(self, server: BackendServer) -> bool:
+        """Return whether a server may continue the stream."""
+        return may_continue(self.origin, server.service, server.software_version)
+
     @property
     def has_more_runs(self) -> bool:
         """Whether the request may run once more after its next run."""
--- a/src/cassiaford/gateway/_messages.py
+++ b/src/cassiaford/gateway/_messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from cassiaford.origins import StreamOrigin, origin_of
+
 Headers = list[tuple[str, str]]
 
 
@@ -37,7 +39,9 @@
     """The metadata in the headers of a request.
 
     `deadline_s` is how long the caller waits after sending. `parts` are the
-    prompt's parts in order; the last one belongs to this request only.
+    prompt's parts in order; the last one belongs to this request only. A caller
+    that takes a stream up again names its last event in `resume_after`, and in
+    `resumes` the attempt that brought its first event.
     """
 
     attempt_id: str
@@ -48,6 +52,13 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
+    resume_after: str | None = None
+    resumes: str | None = None
+
+    @property
+    def takes_up(self) -> bool:
+        """Whether the caller has events of a stream that it takes up again."""
+        return self.resume_after is not None or self.resumes is not None
 
     @property
     def is_generation(self) -> bool:
@@ -66,6 +77,7 @@
 
     `started_at` is the registered start, which distinguishes incarnations of one
     identifier; `versions` are the versions of the loaded weights by model.
+    `software_version` is that of the server's program, None if it is unknown.
     """
 
     server_id: str
@@ -76,6 +88,12 @@
     draining: bool = False
     started_at: int = 0
     versions: dict[str, int] = field(default_factory=dict)
+    software_version: str | None = None
+
+    @property
+    def origin(self) -> StreamOrigin | None:
+        """The origin of the streams that the server begins, None if unknown."""
+        return origin_of(self.service, self.software_version)
 
     @property
     def incarnation(self) -> tuple[str, int, str]:
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -103,16 +103,37 @@
         route: Route,
         now: float,
         may_withdraw: bool = False,
+        may_continue: Callable[[BackendServer], bool] | None = None,
     ) -> Choice | None:
         """Return the best usable backend server of a service, or None.
 
         `may_withdraw` is whether the request may run again after it was sent.
+        `may_continue` returns whether a server fits a stream that has begun, and
+        is None for a request that has not. Few servers may fit a stream, so one
+        that is avoided otherwise is better than none.
         """
         servers = {
             key: server
             for key, server in self._reachable(service, now).items()
             if key not in tried
         }
+        request = (metadata, customer, route, now, may_withdraw)
+        if may_continue is None:
+            return self._choose_among(servers, *request)
+        fitting = {
+            key: server
+            for key, server in self.view.servers.get(service, {}).items()
+            if key not in tried and may_continue(server)
+        }
+        reachable = {key: s for key, s in fitting.items() if key in servers}
+        out_of_use = {k: s for k, s in reachable.items() if k in self.out_of_use}
+        for group in (reachable, out_of_use, fitting):
+            choice = self._choose_among(group, *request)
+            if choice is not None:
+                return choice
+        return None
+
+    def _choose_among(self, servers, metadata, customer, route, now, may_withdraw):
         if metadata.is_generation:
             return self._choose_engine(
                 servers, metadata, customer, route, now, may_withdraw
--- a/src/cassiaford/gateway/_server_chooser.py
+++ b/src/cassiaford/gateway/_server_chooser.py
@@ -41,7 +41,7 @@
 
     def _should_wait(self, choice, now):
         job = self.job
-        if choice.placement is None or job.head_sent:
+        if choice.placement is None or job.continues:
             # Plain services have no prefill to wait for, and a stream that has
             # started must not pause.
             return False
@@ -77,6 +77,7 @@
             job.route,
             now,
             self._may_withdraw(now),
+            job.may_continue_at if job.continues else None,
         )
 
     def _may_withdraw(self, now):
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -17,6 +17,7 @@
     FleetRates,
     Limit,
     NamedVersions,
+    RecentValues,
     ServerRegistry,
     VersionAge,
     VersionSource,
@@ -43,8 +44,10 @@
     """The configuration in force, the backend servers, and the named versions.
 
     `replaced_keys` are the servers whose address another server has taken over
-    before their entries are gone. The gateway sets the callbacks, and `is_reading`,
-    which returns whether a change was found by reading a part of the store anew.
+    before their entries are gone. `recent_software` has the software versions of
+    each service lately, and `recent_targets` the services of each route. The
+    gateway sets the callbacks, and `is_reading`, which returns whether a change
+    was found by reading a part of the store anew.
     """
 
     def __init__(self, decoder: RecordDecoder, rates: FleetRates, log: EventLog):
@@ -59,6 +62,8 @@
         self._serving: dict[int, BackendServer] = {}
         self.named_versions = NamedVersions(suspended_s)
         self._unread_versions = NamedVersions(suspended_s)
+        self.recent_software = RecentValues()
+        self.recent_targets = RecentValues()
         self.on_version_named: Callable[[], None] = lambda: None
         self.is_reading: Callable[[], bool] = lambda: False
         self.on_versions_changed: Callable[[int], None] = lambda key: None
@@ -172,6 +177,10 @@
             return
         self.configuration = configuration
         self.routes = RouteTable(configuration.routes)
+        self.recent_targets.update(
+            {r.name: {t.service for t in r.targets} for r in configuration.routes},
+            self.now(),
+        )
         limits = {
             name: Limit(customer.rate, customer.burst)
             for name, customer in configuration.customers.items()
@@ -308,8 +317,15 @@
         previous, self._serving = self._serving, serving
         for key in previous.keys() - keys:
             self.on_server_ended(previous[key])
+        self._record_software()
         self.on_servers_changed()
 
+    def _record_software(self):
+        versions = {}
+        for server in self.registry.servers.values():
+            versions.setdefault(server.service, set()).add(server.software_version)
+        self.recent_software.update(versions, self.now())
+
 
 def _newest_by_address(servers):
     """Return the servers without those whose address another one has taken.
--- a/src/cassiaford/gateway/peers.capnp
+++ b/src/cassiaford/gateway/peers.capnp
@@ -47,6 +47,17 @@
   witnessed @3 :Bool;        # an instance saw the naming
 }
 
+struct StreamOrigin {
+  attempt @0 :UInt64;       # digest of the attempt that brought the first event
+  origin @1 :UInt64;        # digest of service and software version; 0: ambiguous
+}
+
+struct Origins {
+  told @0 :List(StreamOrigin);
+  asked @1 :List(UInt64);   # digests of attempts
+  unknown @2 :List(UInt64); # in answer to a question
+}
+
 # A report that is not whole identifies its sender by digest and contains only
 # what has changed; only whole reports contain the texts.
 struct Report {
@@ -71,6 +82,7 @@
   refusedParts @18 :List(PartGroup);
   answeredParts @19 :List(UInt64);  # since they were reported with a crash
   versionAges @20 :List(VersionAge);
+  origins @21 :Origins;     # alone, without a sequence, so that older releases drop it
 }
 
 # An instance's copy of a part of the store, for a peer whose calls to the store fail.
--- a/src/cassiaford/gateway/policy/__init__.py
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -21,6 +21,7 @@
     VersionSource,
 )
 from cassiaford.gateway.policy._peer_table import PeerState, PeerTable
+from cassiaford.gateway.policy._recent_values import RecentValues
 from cassiaford.gateway.policy._registry import ServerRegistry
 from cassiaford.gateway.policy._retry_budget import RetryBudget
 from cassiaford.gateway.policy._rollout import LoadOrder, Rollout, RolloutServer
@@ -47,6 +48,7 @@
     "Placement",
     "PlainServer",
     "Prefix",
+    "RecentValues",
     "RetryBudget",
     "Rollout",
     "RolloutServer",
