--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -131,12 +131,21 @@
             choice = self._choose_among(group, *request)
             if choice is not None:
                 return choice
-        return None
+        return self._choose_among(fitting, *request, needs_room=False)
 
-    def _choose_among(self, servers, metadata, customer, route, now, may_withdraw):
+    def _choose_among(
+        self,
+        servers,
+        metadata,
+        customer,
+        route,
+        now,
+        may_withdraw,
+        needs_room=True,
+    ):
         if metadata.is_generation:
             return self._choose_engine(
-                servers, metadata, customer, route, now, may_withdraw
+                servers, metadata, customer, route, now, may_withdraw, needs_room
             )
         plain = [
             PlainServer(
@@ -260,7 +269,9 @@
             k: s for k, s in servers.items() if not self.health.is_backing_off(k, now)
         }
 
-    def _choose_engine(self, servers, metadata, customer, route, now, may_withdraw):
+    def _choose_engine(
+        self, servers, metadata, customer, route, now, may_withdraw, needs_room
+    ):
         margin_s = _start_margin_s(may_withdraw)
         spec = _engine_spec(self.view.configuration, servers)
         usable = {
@@ -274,7 +285,7 @@
                 key,
                 server.server_id,
                 server.slots,
-                spec.cache_tokens,
+                spec.cache_tokens if needs_room else math.inf,
                 self.health.cost_s(key, now)
                 + self._weights_cost(server, metadata, route, now)
                 + self._distance_cost(server),
--- a/src/cassiaford/gateway/policy/_engine_placer.py
+++ b/src/cassiaford/gateway/policy/_engine_placer.py
@@ -64,7 +64,7 @@
     key: Hashable
     name: str
     slots: int
-    memory_tokens: int
+    memory_tokens: float
     cost_s: float = 0.0
     new_prefix_cost_s: float = 0.0
     version: int = 0
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -1,5 +1,6 @@
 """Tests of the choice of engines while new weights are loaded."""
 
+import dataclasses
 import random
 import types
 import unittest
@@ -109,6 +110,27 @@
         self.placer.out_of_use = frozenset({1})
         self.assertEqual(self.fitting(1, 2), 1)
 
+    def test_a_begun_stream_goes_to_a_full_engine_rather_than_nowhere(self):
+        long = request_metadata(9, 97_000, 900)
+        for number in range(2):
+            request = dataclasses.replace(long, attempt_id=f"long-{number}")
+            choice = self.placer.choose(
+                "engine",
+                request,
+                None,
+                {2},
+                TAG,
+                10.0,
+            )
+            self.placer.record_start(choice, request, None, 10.0)
+        self.assertIsNone(
+            self.placer.choose(
+                "engine", request_metadata(1, 1500, 90), None, {2}, TAG, 10.0
+            )
+        )
+        self.assertEqual(self.fitting(1), 1)
+        self.assertEqual(self.fitting(1, 2), 2)
+
     def test_a_begun_stream_never_goes_to_weights_that_are_past_their_bound(self):
         self.placer.weights_bound.within_s = 0.5
         self.assertIsNone(self.fitting(2))
