--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from cassiaford.gateway._clocks import suspended_s
 from cassiaford.gateway._event_log import EventLog
 from cassiaford.gateway._store import (
     Change,
@@ -176,7 +177,9 @@
 
     Calls also fail when just their connections are lost or the instance was
     suspended. Then the next watch returns in time, so `stable_since` counts only
-    outages that have lasted for the shortest lag.
+    outages that have lasted for the shortest lag. Since a response may come long
+    after the store is back, an outage lasted no longer than until the last call
+    that failed in it was started.
     """
 
     def __init__(
@@ -192,12 +195,15 @@
         self.rng = rng
         self.log = log
         self.clock = clock
+        self.suspended_s: Callable[[], float] = suspended_s
         self.failing: set[str] = set()
         self.confirmed_at: dict[str, float] = {}
         self.last_response_at: float | None = None
         self.lost_at: float | None = None
         self.in_outage = False
+        # Of these the first two count suspensions of the machine too.
         self.last_outage_ended_at = float("-inf")
+        self.last_failure_began_at = float("-inf")
         self.outage_began_at = 0.0
         self.min_outage_s = min(section.max_lag_s for section in mirror.sections)
 
@@ -213,7 +219,9 @@
 
     def stable_since(self) -> float:
         """Return when the last outage ended, or the present time during one."""
-        return self.clock() if self._is_long_outage() else self.last_outage_ended_at
+        if self._is_long_outage():
+            return self.clock()
+        return self.last_outage_ended_at - self.suspended_s()
 
     async def run(self) -> None:
         """Follow every section until cancelled."""
@@ -267,7 +275,7 @@
         if self.mirror.era:
             self.log.write(Event.KEY_VALUE_RESTORED, era=era)
             self.mirror.listener.on_store_recovered()
-            self.last_outage_ended_at = self.clock()
+            self.last_outage_ended_at = self.clock() + self.suspended_s()
         self.mirror.era = era
 
     async def _watch(self, section):
@@ -300,7 +308,7 @@
     def record_success(self, client: str) -> None:
         """Record the response to a call of a client of the store."""
         if self._is_long_outage():
-            self.last_outage_ended_at = self.clock()
+            self.last_outage_ended_at = self.last_failure_began_at
         self.last_response_at = self.clock()
         if self.in_outage:
             self.in_outage = False
@@ -329,6 +337,8 @@
             self.in_outage = True
             self.outage_began_at = self.clock()
             self.mirror.listener.on_store_lost()
+        began_at = started_at + self.suspended_s()
+        self.last_failure_began_at = max(began_at, self.last_failure_began_at)
 
     def _is_long_outage(self):
         lasted_s = self.clock() - self.outage_began_at
