--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -128,7 +128,7 @@
             Section(OWN_PREFIX, max_lag_s=OWN_KEYS_MAX_LAG_S),
         )
         self.mirror = Mirror(sections, self.view)
-        self.view.is_reading = lambda: self.mirror.replacing
+        self.view.is_reading = lambda: self.mirror.catching_up
         self.sync = MirrorSync(self.mirror, self.adapter.store, self.rng, self.log)
         self.rollout.bound.stable_since = self.sync.stable_since
         self.registration = Registration(
--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -1,6 +1,7 @@
 """An instance's mirror of the parts of the shared store that it uses."""
 
 import asyncio
+import contextlib
 import random
 import time
 from abc import ABC, abstractmethod
@@ -69,8 +70,7 @@
 class Mirror:
     """A copy of sections of the store, from the store or from a peer's mirror.
 
-    While it is `replacing` a section, the listener gets changes whose time is
-    unknown.
+    While it is `catching_up`, the listener gets changes whose time is unknown.
     """
 
     def __init__(self, sections: tuple[Section, ...], listener: MirrorListener):
@@ -80,7 +80,7 @@
         self.revisions: dict[str, int] = {s.prefix: 0 for s in sections}
         self.eras: dict[str, int] = {s.prefix: 0 for s in sections}
         self.era = 0
-        self.replacing = False
+        self.catching_up = False
 
     def replace(self, prefix: str, page: Page, era: int) -> None:
         """Replace all items of a section, unless it is newer by era and revision.
@@ -89,31 +89,20 @@
         """
         if (era, page.revision) < self._position(prefix):
             return
-        self.replacing = True
-        try:
+        with self._catching_up(True):
             self._replace_items(prefix, page)
-        finally:
-            self.replacing = False
         self.eras[prefix] = era
         self.revisions[prefix] = page.revision
 
-    def apply(self, prefix: str, changes: Changes) -> None:
+    def apply(self, prefix: str, changes: Changes, late: bool = False) -> None:
         """Apply the changes of a section up to a revision.
 
         Changes that the section has already, from a peer's copy or from pages
-        that were read later than the first, are skipped.
+        that were read later than the first, are skipped. `late` is whether they
+        may be older than the section's longest lag.
         """
-        items = self.items[prefix]
-        for change in changes.changes:
-            previous = items.get(change.key)
-            known = previous.revision if previous else self.revisions[prefix]
-            if change.revision <= known:
-                continue
-            if change.item is not None:
-                self._put(prefix, change.item)
-            elif previous is not None:
-                del items[change.key]
-                self.listener.on_change(change)
+        with self._catching_up(late):
+            self._apply_changes(prefix, changes)
         self.revisions[prefix] = max(changes.revision, self.revisions[prefix])
 
     def apply_newer(self, snapshot: dict[str, Page], era: int) -> bool:
@@ -150,6 +139,27 @@
         current = set(self.eras.values()) == {self.era}
         return current and all(self.revisions.values())
 
+    @contextlib.contextmanager
+    def _catching_up(self, catching_up):
+        self.catching_up = catching_up
+        try:
+            yield
+        finally:
+            self.catching_up = False
+
+    def _apply_changes(self, prefix, changes):
+        items = self.items[prefix]
+        for change in changes.changes:
+            previous = items.get(change.key)
+            known = previous.revision if previous else self.revisions[prefix]
+            if change.revision <= known:
+                continue
+            if change.item is not None:
+                self._put(prefix, change.item)
+            elif previous is not None:
+                del items[change.key]
+                self.listener.on_change(change)
+
     def _replace_items(self, prefix, page):
         items = self.items[prefix]
         for key in set(items) - {item.key for item in page.items}:
@@ -210,7 +220,7 @@
     def age_s(self, prefix: str) -> float | None:
         """Return the seconds since a section was last confirmed, None if never."""
         confirmed_at = self.confirmed_at.get(prefix)
-        return None if confirmed_at is None else self.clock() - confirmed_at
+        return None if confirmed_at is None else self._time() - confirmed_at
 
     @property
     def reachable(self) -> bool:
@@ -264,7 +274,7 @@
             return era
         self._enter_era()
         self.mirror.replace(section.prefix, page, self.mirror.era)
-        self.confirmed_at[section.prefix] = self.clock()
+        self.confirmed_at[section.prefix] = self._time()
         return self.mirror.era
 
     def _enter_era(self):
@@ -275,7 +285,7 @@
         if self.mirror.era:
             self.log.write(Event.KEY_VALUE_RESTORED, era=era)
             self.mirror.listener.on_store_recovered()
-            self.last_outage_ended_at = self.clock() + self.suspended_s()
+            self.last_outage_ended_at = self._time()
         self.mirror.era = era
 
     async def _watch(self, section):
@@ -291,8 +301,9 @@
         self.record_success(section.prefix)
         if self.store.era != self.mirror.era:
             return
-        self.mirror.apply(section.prefix, changes)
-        self.confirmed_at[section.prefix] = self.clock()
+        late = self.age_s(section.prefix) > section.max_lag_s
+        self.mirror.apply(section.prefix, changes, late)
+        self.confirmed_at[section.prefix] = self._time()
         if changes.changes:
             await asyncio.sleep(section.batch_window_s)
 
@@ -340,6 +351,10 @@
         began_at = started_at + self.suspended_s()
         self.last_failure_began_at = max(began_at, self.last_failure_began_at)
 
+    def _time(self):
+        """Return a time that also runs while the machine is suspended."""
+        return self.clock() + self.suspended_s()
+
     def _is_long_outage(self):
         lasted_s = self.clock() - self.outage_began_at
         return self.in_outage and lasted_s >= self.min_outage_s
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -47,7 +47,7 @@
     before their entries are gone. `recent_software` has the software versions of
     each service lately, and `recent_targets` the services of each route. The
     gateway sets the callbacks, and `is_reading`, which returns whether a change
-    was found by reading a part of the store anew.
+    may have been made long before it was read.
     """
 
     def __init__(self, decoder: RecordDecoder, rates: FleetRates, log: EventLog):
