--- a/src/cassiaford/gateway/policy/_rollout.py
+++ b/src/cassiaford/gateway/policy/_rollout.py
@@ -61,10 +61,14 @@
 
 @dataclass
 class _Turn:
-    """The step that an engine in its turn has reached, and when."""
+    """The step that an engine in its turn has reached, and when.
+
+    `model` and `version` are those of its last order.
+    """
 
     step: _Step
     since: float
+    model: str = ""
     version: int = 0
 
 
@@ -115,12 +119,12 @@
             del self.turns[key]
         self._start_turns(outdated, len(servers), now)
         orders = []
-        for key, turn in self.turns.items():
+        for key, turn in tuple(self.turns.items()):
             server = outdated[key]
             if self._is_due(turn, server, now):
                 version = self.named_versions.newest(server.model)
                 orders.append(LoadOrder(key, server.model, version))
-                turn.step, turn.since, turn.version = _Step.ORDERED, now, version
+                self.turns[key] = _Turn(_Step.ORDERED, now, server.model, version)
         return orders
 
     def record_failed_order(self, key: Hashable) -> None:
@@ -132,7 +136,10 @@
     def _is_due(self, turn, server, now):
         waited = now - turn.since
         if turn.step is _Step.ORDERED:
-            return waited >= ORDER_RETRY_S
+            # An engine that has loaded may still lack another model's weights, or
+            # newer ones.
+            loaded = server.model != turn.model or server.version >= turn.version
+            return loaded or waited >= ORDER_RETRY_S
         return waited >= (
             MAX_FIRST_TOKEN_WAIT_S if server.unstarted else OUT_OF_USE_DELAY_S
         )
