--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -294,6 +294,7 @@
         self.settings = replace(settings, addresses=addresses)
         self.front.set_retry_limits(settings.retry_limits)
         self.rollout.bound.within_s = settings.weights_within_s
+        self.terms.term_s = settings.weights_within_s - START_MARGIN_S
         self.log.write(Event.SETTINGS_RELOADED, addresses_kept=unchanged)
 
     @property
