--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -122,8 +122,9 @@
 
     def version_ages(self) -> tuple[VersionAge, ...]:
         """Return the ages of all named versions, with models as digests."""
+        # Clocks are not read at one moment, and no report can hold a negative age.
         return tuple(
-            replace(age, model=digest(model))
+            replace(age, model=digest(model), age_s=max(0.0, age.age_s))
             for model in self.named_versions.models
             for age in self.named_versions.ages(model, self.now())
         )
