--- a/src/cassiaford/platform/_store.py
+++ b/src/cassiaford/platform/_store.py
@@ -1,5 +1,6 @@
 """A client of the platform's metadata store over HTTP."""
 
+import asyncio
 import base64
 import binascii
 import json
@@ -139,7 +140,14 @@
             reply = await self.client.call(
                 method, self.address, target, timeout_s, headers, body
             )
+        except asyncio.CancelledError:
+            # A watch was abandoned, since its connection seems to be silent.
+            self.client.pool.close_idle(self.address)
+            raise
         except CallFailedError as error:
+            # Idle connections may have been lost with this one, and each call that
+            # tries one of them would fail too.
+            self.client.pool.close_idle(self.address)
             kind = StoreError if error.sent else StoreRefusedError
             raise kind(str(error)) from error
         # An answer that was delayed may be of an earlier era.
