--- a/tests/test_bound_after_outages.py
+++ b/tests/test_bound_after_outages.py
@@ -17,12 +17,14 @@
     DEFAULT_IDLE_TIMEOUT_S,
     ResponseHead,
 )
+from cassiaford.gateway._version_terms import PEERS_TELL_WITHIN_S
 from cassiaford.gateway._view import digest
 from cassiaford.gateway.policy import NamedVersions, Rollout, RolloutServer
 from cassiaford.platform._store import PlatformStore
 from tests.fakes_shared_store import LATENCY_S
 from tests.platform_case import MODEL, PlatformCase, configuration
 from tests.test_stale_copies import SECTIONS, running
+from tests.version_schedule import VersionSchedule
 from tests.virtual_time import run_in_virtual_time
 
 WEIGHTS_WITHIN_S = 6.0
@@ -248,6 +250,26 @@
             return named.is_witnessed(MODEL, 2)
 
 
+class RestartOfAllTest(unittest.TestCase):
+    """What the store has kept of a version's time, once all have restarted."""
+
+    def test_a_time_that_was_over_for_long_ends_once_it_is_known(self):
+        async def run():
+            schedule = VersionSchedule(1)
+            async with schedule.calm():
+                await asyncio.sleep(WEIGHTS_WITHIN_S)
+                await schedule.kill_instances()
+                await asyncio.sleep(20.0)
+                schedule.start("entry-1")
+                # Time to read everything, to hear of peers, and to look.
+                await asyncio.sleep(PEERS_TELL_WITHIN_S + 0.3)
+                bound = schedule.instances["entry-1"].gateway.rollout.bound
+                now = schedule.loop.time()
+                self.assertLessEqual(bound.last_start(MODEL, 1, now), now)
+
+        run_in_virtual_time(run())
+
+
 class NextVersionTest(unittest.TestCase):
     """Orders to engines that still lack something once an order took effect."""
 
