--- a/src/cassiaford/gateway/_version_terms.py
+++ b/src/cassiaford/gateway/_version_terms.py
@@ -84,6 +84,8 @@
         self.sync = sync
         self.records: dict[str, VersionRecord] = {}
         self.terms: set[str] = set()
+        # When the time of a version was first found to be over, by key.
+        self.over_since: dict[str, float] = {}
         self.may_write: Callable[[], bool] = lambda: False
         self.is_complete: Callable[[], bool] = lambda: False
         self._complete_since: float | None = None
@@ -117,16 +119,23 @@
 
     def apply_records(self) -> None:
         """Take the versions for overdue whose time is over, if nobody knows better."""
-        if not self._is_informed():
-            return
+        informed, now = self._is_informed(), self.view.now()
         named = self.view.named_versions
-        for record in self.records.values():
-            for version in record.versions:
-                if self._term_key(record.model, version) in self.terms:
-                    continue
-                if not named.is_witnessed(record.model, version):
-                    age = VersionAge(record.model, version, self.term_s)
-                    self.view.update_recorded_age(age)
+        over = self._versions_over() if self.is_complete() else {}
+        self.over_since = {key: self.over_since.get(key, now) for key in over}
+        for key, (model, version) in over.items():
+            if informed and not named.is_witnessed(model, version):
+                age_s = self.term_s + now - self.over_since[key]
+                self.view.update_recorded_age(VersionAge(model, version, age_s))
+
+    def _versions_over(self):
+        """Return the recorded versions whose time is over, by their keys."""
+        recorded = {
+            self._term_key(record.model, version): (record.model, version)
+            for record in self.records.values()
+            for version in record.versions
+        }
+        return {k: version for k, version in recorded.items() if k not in self.terms}
 
     def _is_informed(self):
         """Return whether peers have had the time to tell what they know."""
