--- a/tests/test_fleet_rates.py
+++ b/tests/test_fleet_rates.py
@@ -1,10 +1,186 @@
 """Tests of customers' rates over the fleet, under loads beyond the rate."""
 
+import heapq
+import itertools
 import random
 import unittest
 
 from cassiaford.gateway.policy import FleetRates, Limit
 
+# The users accept this many tokens beyond the limit and its overshoot.
+SLACK_TOKENS = 140_000
+OVERSHOOT = 0.1
+WINDOW_S = 8.0
+
+
+class LoadedFleet:
+    """Instances on virtual time that a customer asks for more than its rate.
+
+    Requests arrive at random instances from 0.5 s on. Each instance reports ten
+    times a second, and its reports arrive some milliseconds later at those of the
+    same `group`.
+    """
+
+    REPORT_INTERVAL_S = 0.1
+    DELAY_S = 0.01
+    REQUEST_TOKENS = 12_000
+
+    def __init__(self, limit, overload, seed, size=70):
+        self.limit = limit
+        self.rng = random.Random(seed)
+        self.names = [f"entry-{n}" for n in range(size)]
+        self.incarnation = 1
+        self.group = lambda name, now: 0
+        self.spent = []
+        self.mean_pause_s = self.REQUEST_TOKENS / (overload * limit.rate)
+        self._events = []
+        self._numbers = itertools.count()
+        self.restart(0.0)
+        self.at(0.5, self._request)
+        for name in self.names:
+            self.at(self.rng.uniform(0.0, self.REPORT_INTERVAL_S), self._report, name)
+
+    def at(self, time, action, *arguments):
+        """Call an action with the time that it is due and its arguments."""
+        event = (time, next(self._numbers), action, arguments)
+        heapq.heappush(self._events, event)
+
+    def restart(self, now):
+        """Start all instances anew."""
+        self.incarnation += 1
+        self.fleet = {name: FleetRates(WINDOW_S) for name in self.names}
+        for name, rates in self.fleet.items():
+            rates.configure({"academy": self.limit}, now)
+            rates.set_members([n for n in self.names if n != name], now)
+
+    def run(self, seconds):
+        """Process all events until a time."""
+        while self._events[0][0] <= seconds:
+            now, _, action, arguments = heapq.heappop(self._events)
+            action(now, *arguments)
+
+    def max_in_window(self):
+        """Return the most tokens that were allowed in any window."""
+        maximum = first = within = 0
+        for time in self.spent:
+            within += self.REQUEST_TOKENS
+            while self.spent[first] <= time - WINDOW_S:
+                within -= self.REQUEST_TOKENS
+                first += 1
+            maximum = max(maximum, within)
+        return maximum
+
+    def _request(self, now):
+        self.at(now + self.rng.expovariate(1 / self.mean_pause_s), self._request)
+        rates = self.fleet[self.rng.choice(self.names)]
+        if rates.charge("academy", self.REQUEST_TOKENS, now):
+            self.spent.append(now)
+
+    def _report(self, now, name):
+        self.at(now + self.REPORT_INTERVAL_S, self._report, name)
+        group = self.group(name, now)
+        report = name, self.incarnation, self.fleet[name].spent(), group
+        self.at(now + self.rng.uniform(0.5, 1.5) * self.DELAY_S, self._receive, *report)
+
+    def _receive(self, now, sender, incarnation, spent, group):
+        for name, rates in self.fleet.items():
+            if name != sender and self.group(name, now) == group:
+                rates.update_from_peer(sender, incarnation, spent, now)
+
+
+class LargeFleetTest(unittest.TestCase):
+    """Seventy instances, each of which could grant what the fleet may spend."""
+
+    def assert_limit_kept(self, loaded, seconds=10.0):
+        loaded.run(seconds)
+        limit = loaded.limit
+        allowed = limit.rate * WINDOW_S + limit.burst
+        maximum = loaded.max_in_window()
+        self.assertLessEqual(maximum, allowed * (1 + OVERSHOOT) + SLACK_TOKENS)
+        asked_s = seconds - 0.5
+        total = len(loaded.spent) * loaded.REQUEST_TOKENS
+        self.assertGreaterEqual(total, 0.95 * limit.rate * asked_s)
+
+    def test_the_first_request_on_each_instance_counts_towards_the_limit(self):
+        limit = Limit(36_000.0, 36_000.0)
+        self.assert_limit_kept(LoadedFleet(limit, 4.2, seed=1))
+
+    def test_a_debt_from_requests_on_many_instances_is_not_forgiven(self):
+        limit = Limit(36_000.0, 36_000.0)
+        self.assert_limit_kept(LoadedFleet(limit, 15.0, seed=1))
+
+    def test_a_restart_of_all_instances_keeps_the_limit(self):
+        limit = Limit(36_000.0, 36_000.0)
+        loaded = LoadedFleet(limit, 4.2, seed=2)
+        loaded.at(4.0, loaded.restart)
+        self.assert_limit_kept(loaded)
+
+    def test_instances_cut_off_from_each_other_keep_the_limit(self):
+        limit = Limit(36_000.0, 36_000.0)
+        loaded = LoadedFleet(limit, 4.2, seed=3)
+        isolated = set(loaded.names[:24])
+        loaded.group = lambda name, now: (
+            name if now >= 3.0 and name in isolated else "rest"
+        )
+        self.assert_limit_kept(loaded)
+
+
+class LateConfigurationTest(unittest.TestCase):
+    LIMIT = Limit(0.001, 40_000.0)
+
+    def pair(self):
+        """Return two instances that know each other, with one customer."""
+        first, second = FleetRates(), FleetRates()
+        for rates, peer in ((first, "b"), (second, "a")):
+            rates.configure({"academy": self.LIMIT}, 0.0)
+            rates.set_members([peer], 0.0)
+        return first, second
+
+    def exchange(self, first, second):
+        first.update_from_peer("b", 1, second.spent(), 0.0)
+        second.update_from_peer("a", 1, first.spent(), 0.0)
+
+    def level(self, rates, customer):
+        return rates.buckets[customer].level
+
+    def test_what_is_spent_before_a_peer_knows_a_new_customer_is_counted(self):
+        first, second = self.pair()
+        self.exchange(first, second)
+        both = {"academy": self.LIMIT, "kitchen": self.LIMIT}
+        first.configure(both, 0.0)
+        self.assertTrue(first.charge("kitchen", 1500, 0.0))
+        self.exchange(first, second)
+        second.configure(both, 0.0)
+        initial = self.level(second, "kitchen")
+        self.exchange(first, second)
+        self.assertAlmostEqual(self.level(second, "kitchen"), initial - 1500)
+
+    def test_spending_counts_after_a_customer_was_removed_and_added_again(self):
+        # The second instance never sees the version without the customer.
+        first, second = self.pair()
+        self.exchange(first, second)
+        self.assertTrue(first.charge("academy", 1500, 0.0))
+        self.exchange(first, second)
+        first.configure({}, 0.0)
+        first.configure({"academy": self.LIMIT}, 0.0)
+        self.exchange(first, second)
+        before = self.level(second, "academy")
+        self.assertTrue(first.charge("academy", 1000, 0.0))
+        self.exchange(first, second)
+        self.assertAlmostEqual(self.level(second, "academy"), before - 1000)
+
+    def test_a_restarted_instance_does_not_count_what_peers_spent_long_ago(self):
+        first, second = self.pair()
+        self.exchange(first, second)
+        self.assertTrue(first.charge("academy", 1500, 0.0))
+        restarted = FleetRates()
+        restarted.set_members(["a"], 0.0)
+        restarted.update_from_peer("a", 1, first.spent(), 0.0)
+        restarted.configure({"academy": self.LIMIT}, 0.0)
+        initial = self.level(restarted, "academy")
+        restarted.update_from_peer("a", 1, first.spent(), 0.0)
+        self.assertAlmostEqual(self.level(restarted, "academy"), initial)
+
 
 class FleetRatesTest(unittest.TestCase):
     def fleet(self, size, limit, now=0.0):
