--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -114,7 +114,7 @@
         self.view = View(self.adapter.records, self.rates, self.log)
         self.view.on_versions_changed = self.engines.clear_cached_prefixes
         self.view.on_servers_changed = self._servers_changed
-        self.view.on_configuration_changed = self._update_readiness
+        self.view.on_configuration_changed = self._configuration_changed
 
     def _create_store_clients(self):
         records = self.adapter.records
@@ -353,9 +353,6 @@
             self._remove_peer(name)
         self._update_readiness()
         self.rates.set_members(self.table.expected(), now)
-        self.peers.set_customers(
-            self.view.configuration.customers if self.view.configuration else ()
-        )
         self.peers.unreachable = self.prober.unreachable
         self._out_of_use_changed()
         self.placer.unreachable_stores = self.store_prober.unreachable
@@ -375,6 +372,11 @@
                 self.log.write(Event.INSTANCE_READY)
             self.peers.send_report()
 
+    def _configuration_changed(self):
+        # Reports that arrive now may name any customer with a rate.
+        self.peers.set_customers(self.view.configuration.customers)
+        self._update_readiness()
+
     def _servers_changed(self):
         keys = {key for servers in self.view.servers.values() for key in servers}
         self.engines.retain(keys)
--- a/src/cassiaford/gateway/_peers.py
+++ b/src/cassiaford/gateway/_peers.py
@@ -214,7 +214,7 @@
             for key, tokens in report.spending.items()
             if key in self.customers_by_digest
         }
-        self.rates.update_from_peer(name, report.incarnation, spent, now)
+        self.rates.update_from_peer(name, report.incarnation, spent, now, report.whole)
         if self.peers_out_of_use.get(name, frozenset()) != report.out_of_use:
             self.peers_out_of_use[name] = report.out_of_use
             self.on_out_of_use()
--- a/src/cassiaford/gateway/policy/_fleet_rates.py
+++ b/src/cassiaford/gateway/policy/_fleet_rates.py
@@ -122,6 +122,9 @@
         self.buckets: dict[str, _Bucket] = {}
         self.last_report_at: dict[str, float] = {}
         self.members: frozenset[str] = frozenset()
+        self.configured = False
+        # The peers from which a whole report came since the first configuration.
+        self.incarnations: dict[str, int] = {}
 
     def configure(self, limits: dict[str, Limit], now: float) -> None:
         """Apply the customers' limits; customers not named have none."""
@@ -131,11 +134,12 @@
             limit = stated.bucket_limit(self.window_s)
             bucket = self.buckets.get(customer)
             if bucket is None:
-                self.buckets[customer] = _Bucket(limit, now)
+                self.buckets[customer] = self._new_bucket(limit, now)
             elif bucket.limit != limit:
                 self._advance(bucket, now)
                 bucket.limit = limit
                 bucket.level = min(bucket.level, limit.burst)
+        self.configured = True
 
     def set_members(self, peers: Iterable[str], now: float) -> None:
         """Set the names of the other instances that may spend tokens."""
@@ -146,11 +150,25 @@
             self.last_report_at.setdefault(peer, now)
         for peer in set(self.last_report_at) - self.members:
             del self.last_report_at[peer]
+            self.incarnations.pop(peer, None)
 
     def update_from_peer(
-        self, peer: str, incarnation: int, spent: dict[str, float], now: float
+        self,
+        peer: str,
+        incarnation: int,
+        spent: dict[str, float],
+        now: float,
+        whole: bool = True,
     ) -> None:
-        """Apply what a peer has spent since its start, by customer."""
+        """Apply what a peer has spent since its start, by customer.
+
+        In a whole report, a customer that is not named has spent nothing there.
+        Before the first one, it is unknown when a peer's spending occurred.
+        """
+        if whole:
+            spent = dict.fromkeys(self.buckets, 0.0) | spent
+            if self.configured:
+                self.incarnations[peer] = incarnation
         for customer, amount in spent.items():
             bucket = self.buckets.get(customer)
             if bucket is not None:
@@ -220,6 +238,12 @@
         """Return what this instance has spent since its start, by customer."""
         return {name: b.spent for name, b in self.buckets.items() if b.spent}
 
+    def _new_bucket(self, limit, now):
+        """Return a customer's bucket; peers that were heard had not spent from it."""
+        bucket = _Bucket(limit, now)
+        bucket.peer_spent = {p: (i, 0.0) for p, i in self.incarnations.items()}
+        return bucket
+
     def _advance(self, bucket, now):
         silent = [
             peer
