--- a/src/cassiaford/gateway/policy/_fleet_rates.py
+++ b/src/cassiaford/gateway/policy/_fleet_rates.py
@@ -120,6 +120,8 @@
     def __init__(self, window_s: float = DEFAULT_WINDOW_S):
         self.window_s = window_s
         self.buckets: dict[str, _Bucket] = {}
+        # Totals go on if a customer returns: a peer may have seen no removal.
+        self.removed: dict[str, _Bucket] = {}
         self.last_report_at: dict[str, float] = {}
         self.members: frozenset[str] = frozenset()
         self.configured = False
@@ -129,9 +131,11 @@
     def configure(self, limits: dict[str, Limit], now: float) -> None:
         """Apply the customers' limits; customers not named have none."""
         for customer in set(self.buckets) - set(limits):
-            del self.buckets[customer]
+            self.removed[customer] = self.buckets.pop(customer)
         for customer, stated in limits.items():
             limit = stated.bucket_limit(self.window_s)
+            if customer in self.removed:
+                self.buckets[customer] = self.removed.pop(customer)
             bucket = self.buckets.get(customer)
             if bucket is None:
                 self.buckets[customer] = self._new_bucket(limit, now)
@@ -236,7 +240,8 @@
 
     def spent(self) -> dict[str, float]:
         """Return what this instance has spent since its start, by customer."""
-        return {name: b.spent for name, b in self.buckets.items() if b.spent}
+        buckets = self.buckets | self.removed
+        return {name: b.spent for name, b in buckets.items() if b.spent}
 
     def _new_bucket(self, limit, now):
         """Return a customer's bucket; peers that were heard had not spent from it."""
