--- a/src/cassiaford/gateway/policy/_fleet_rates.py
+++ b/src/cassiaford/gateway/policy/_fleet_rates.py
@@ -58,8 +58,9 @@
 class _Bucket:
     """The fleet's tokens for one customer, as this instance estimates them."""
 
-    def __init__(self, limit, now):
+    def __init__(self, limit, window_s, now):
         self.limit = limit
+        self.window_s = window_s
         self.level = limit.burst * INITIAL_LEVEL_FRACTION
         self.updated_at = now
         self.spent = 0.0
@@ -101,7 +102,8 @@
         self.peer_spent[peer] = (incarnation, spent)
         reserved = self.reserved.pop(peer, 0.0)
         self.level -= max(0.0, spent - before - reserved)
-        self.level = max(self.level, -self.limit.burst)
+        # What was spent a window ago no longer counts.
+        self.level = max(self.level, -self.limit.rate * self.window_s)
 
 
 class FleetRates:
@@ -245,7 +247,7 @@
 
     def _new_bucket(self, limit, now):
         """Return a customer's bucket; peers that were heard had not spent from it."""
-        bucket = _Bucket(limit, now)
+        bucket = _Bucket(limit, self.window_s, now)
         bucket.peer_spent = {p: (i, 0.0) for p, i in self.incarnations.items()}
         return bucket
 
