--- a/src/cassiaford/gateway/policy/_fleet_rates.py
+++ b/src/cassiaford/gateway/policy/_fleet_rates.py
@@ -68,16 +68,40 @@
         self.next_retry_at = 0.0
         self.peer_spent = {}
         self.reserved = {}
+        self.heard_fraction = 1.0
 
     def advance(self, now, silent, members):
+        self._reserve_parts(silent, members)
+        self.heard_fraction = 1.0 - len(silent) / max(1, members)
         elapsed = max(0.0, now - self.updated_at)
         self.updated_at = max(now, self.updated_at)
         share = self.limit.rate * elapsed / max(1, members)
         for peer in silent:
-            self.reserved[peer] = self.reserved.get(peer, 0.0) + share
+            self.reserved[peer] += share
         gained = self.limit.rate * elapsed - share * len(silent)
         self.level = min(self.limit.burst, self.level + max(0.0, gained))
 
+    def _reserve_parts(self, silent, members):
+        """Reserve the even parts of peers that have become silent."""
+        new = [peer for peer in silent if peer not in self.reserved]
+        if not new:
+            return
+        part = self.level / max(1, members - len(silent) + len(new))
+        for peer in new:
+            self.reserved[peer] = part
+            self.level -= part
+
+    def min_level(self, tokens):
+        """Return the level above which a request is granted.
+
+        A large request may leave a debt. In a cut, the debts of all sides together
+        are at most that of one request.
+        """
+        if tokens <= SMALL_REQUEST_FRACTION * self.limit.burst:
+            max_debt = SMALL_REQUEST_DEBT_FRACTION * self.limit.burst
+            return -max_debt * self.heard_fraction
+        return tokens * (1.0 - self.heard_fraction)
+
     def spend(self, tokens):
         self.level -= tokens
         # Peers receive a total that never falls, so refunds are deducted from
@@ -101,7 +125,7 @@
             return
         self.peer_spent[peer] = (incarnation, spent)
         reserved = self.reserved.pop(peer, 0.0)
-        self.level -= max(0.0, spent - before - reserved)
+        self.level = min(self.limit.burst, self.level + reserved + before - spent)
         # What was spent a window ago no longer counts.
         self.level = max(self.level, -self.limit.rate * self.window_s)
 
@@ -192,9 +216,7 @@
         if bucket is None:
             return True
         self._advance(bucket, now)
-        small = tokens <= SMALL_REQUEST_FRACTION * bucket.limit.burst
-        min_level = -SMALL_REQUEST_DEBT_FRACTION * bucket.limit.burst if small else 0.0
-        if bucket.level <= min_level:
+        if bucket.level <= bucket.min_level(tokens):
             return False
         bucket.spend(tokens)
         return True
