--- a/src/cassiaford/gateway/policy/_fleet_rates.py
+++ b/src/cassiaford/gateway/policy/_fleet_rates.py
@@ -7,6 +7,7 @@
 them.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -153,6 +154,8 @@
         self.configured = False
         # The peers from which a whole report came since the first configuration.
         self.incarnations: dict[str, int] = {}
+        self._silent: tuple[str, ...] = ()
+        self._next_silence_at = -math.inf
 
     def configure(self, limits: dict[str, Limit], now: float) -> None:
         """Apply the customers' limits; customers not named have none."""
@@ -176,6 +179,7 @@
         for bucket in self.buckets.values():
             self._advance(bucket, now)
         self.members = frozenset(peers)
+        self._next_silence_at = -math.inf
         for peer in self.members:
             self.last_report_at.setdefault(peer, now)
         for peer in set(self.last_report_at) - self.members:
@@ -205,6 +209,8 @@
                 self._advance(bucket, now)
                 bucket.update_from_peer(peer, incarnation, amount)
         self.last_report_at[peer] = now
+        if peer in self._silent:
+            self._next_silence_at = -math.inf
 
     def charge(self, customer: str, tokens: float, now: float) -> bool:
         """Take tokens if the fleet has any left; return whether it had.
@@ -274,9 +280,18 @@
         return bucket
 
     def _advance(self, bucket, now):
-        silent = [
-            peer
-            for peer in self.members
-            if now - self.last_report_at.get(peer, now) > PEER_SILENCE_TIMEOUT_S
-        ]
-        bucket.advance(now, silent, len(self.members) + 1)
+        bucket.advance(now, self._silent_peers(now), len(self.members) + 1)
+
+    def _silent_peers(self, now):
+        """Return the peers without a recent report.
+
+        They are determined anew only once one of the others may have become silent.
+        """
+        if now > self._next_silence_at:
+            last = {peer: self.last_report_at.get(peer, now) for peer in self.members}
+            self._silent = tuple(
+                peer for peer, at in last.items() if now - at > PEER_SILENCE_TIMEOUT_S
+            )
+            heard = (at for peer, at in last.items() if peer not in self._silent)
+            self._next_silence_at = min(heard, default=now) + PEER_SILENCE_TIMEOUT_S
+        return self._silent
