--- a/src/cassiaford/gateway/_peers.py
+++ b/src/cassiaford/gateway/_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import socket
 from collections.abc import Callable
 
 from cassiaford.gateway._crashes import CrashMonitor
@@ -33,6 +34,9 @@
 WHOLE_EVERY_REPORTS = 10
 # Up to this many reports in a row are skipped if nothing has changed.
 MAX_SKIPPED_REPORTS = 3
+# Reports that are read in one iteration of the event loop.
+MAX_WAITING_REPORTS = 256
+MAX_DATAGRAM_BYTES = 65_536
 
 
 class PeerReports(asyncio.DatagramProtocol):
@@ -70,6 +74,7 @@
         self.on_out_of_use: Callable[[], None] = lambda: None
         self.customers_by_digest: dict[int, str] = {}
         self.transport: asyncio.DatagramTransport | None = None
+        self._socket: socket.socket | None = None
         self._sequence = itertools.count(1)
         self._newest: dict[int, tuple[int, int]] = {}
         self._states: dict[int, PeerState] = {}
@@ -80,14 +85,35 @@
         self._now = asyncio.get_running_loop().time
 
     def connection_made(self, transport):
-        """Store the transport of the socket."""
+        """Store the transport, and a handle of its socket."""
         self.transport = transport
+        self._socket = transport.get_extra_info("socket").dup()
+
+    def connection_lost(self, exc):
+        """Close the handle of the socket."""
+        self._socket.close()
 
     def error_received(self, exc):
         """Ignore a peer's closed port; its silence is detected anyway."""
 
     def datagram_received(self, data, addr):
-        """Process a report."""
+        """Process a report and those behind it.
+
+        The event loop reads one datagram an iteration, while a busy iteration may
+        take longer than the time between two of all peers' reports.
+        """
+        self._receive(data, addr)
+        for _ in range(MAX_WAITING_REPORTS):
+            try:
+                data, addr = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.error_received(error)
+                return
+            self._receive(data, addr)
+
+    def _receive(self, data, addr):
         try:
             report = decode_report(data)
         except PeerMessageError as error:
