--- a/tests/test_stale_copies.py
+++ b/tests/test_stale_copies.py
@@ -146,6 +146,64 @@
         run_in_virtual_time(run())
 
 
+class ForgottenHistoryTest(unittest.TestCase):
+    """A store that discards its history with each of many changes."""
+
+    @contextlib.asynccontextmanager
+    async def forgetting(self, store):
+        async def write():
+            while True:
+                await asyncio.sleep(0.01)
+                store.put("cassiaford/x")
+                store.compact()
+
+        task = asyncio.create_task(write())
+        try:
+            yield
+        finally:
+            task.cancel()
+
+    def test_sections_are_not_read_anew_without_a_pause(self):
+        async def run():
+            async with running() as (store, instance), self.forgetting(store):
+                before = instance.client.calls
+                await asyncio.sleep(10.0)
+                calls_per_s = (instance.client.calls - before) / 10.0
+                # A section every quarter of a second, and a watch after each.
+                self.assertLessEqual(calls_per_s, 8 * len(SECTIONS))
+
+        run_in_virtual_time(run())
+
+    def test_a_fleet_within_the_store_s_limit_of_calls_learns_of_every_change(self):
+        async def run():
+            async with running() as (store, first):
+                fleet = [first, *(Instance(store, n) for n in range(2, 71))]
+                await asyncio.sleep(1.0)
+                store.calls_per_s = 6000
+                async with self.forgetting(store):
+                    for version in range(2, 8):
+                        await asyncio.sleep(0.5)
+                        put_configuration(store, version)
+                        await asyncio.sleep(CHANGE_IN_FORCE_S)
+                        late = sum(i.version < version for i in fleet)
+                        self.assertEqual((version, late), (version, 0))
+                for instance in fleet[1:]:
+                    await instance.stop()
+
+        run_in_virtual_time(run())
+
+    def test_one_lost_history_delays_no_change(self):
+        async def run():
+            async with running() as (store, instance):
+                store.put("cassiaford/x")
+                store.compact()
+                put_configuration(store, 2)
+                await asyncio.sleep(0.1)
+                self.assertEqual(instance.version, 2)
+
+        run_in_virtual_time(run())
+
+
 class LapsedEntryTest(unittest.TestCase):
     def test_a_server_that_leaves_long_after_an_outage_is_not_kept(self):
         # Its removal is the first response to a watch that failed in the outage.
