--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -34,6 +34,10 @@
 # The delay after a failed call doubles with each further failure.
 FIRST_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.8
+# A section whose history is lost again before a watch succeeds rests for this
+# fraction of its longest lag before it is read: instances that read it all the
+# while would exceed the store's limit of calls.
+REREAD_REST_FRACTION = 0.15
 
 
 class MirrorListener(ABC):
@@ -205,17 +209,23 @@
     async def _follow(self, section):
         delay_s = FIRST_RETRY_DELAY_S
         loaded_era = None
+        lost_again = False
         while True:
             started_at = self.clock()
             try:
                 if loaded_era == self.store.era:
                     await self._watch(section)
+                    lost_again = False
                 else:
                     loaded_era = await self._load(section)
                 delay_s = FIRST_RETRY_DELAY_S
             except HistoryLostError:
                 self.record_success(section.prefix)
                 loaded_era = None
+                if lost_again:
+                    rest_s = REREAD_REST_FRACTION * section.max_lag_s
+                    await asyncio.sleep(rest_s * (0.5 + self.rng.random()))
+                lost_again = True
             except StoreError as error:
                 self._log_failed_watch(section, error)
                 self.record_failure(section.prefix, error, started_at)
