--- a/src/cassiaford/gateway/_http_caller.py
+++ b/src/cassiaford/gateway/_http_caller.py
@@ -72,6 +72,10 @@
         self.pool.release(address, connection)
         return reply
 
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to an address, so that calls open new ones."""
+        self.pool.close_idle(address)
+
     def _drop(self, connection):
         if connection is not None:
             connection.close()
--- a/src/cassiaford/platform/_store.py
+++ b/src/cassiaford/platform/_store.py
@@ -1,5 +1,6 @@
 """A client of the platform's metadata store over HTTP."""
 
+import asyncio
 import base64
 import binascii
 import json
@@ -139,7 +140,13 @@
             reply = await self.client.call(
                 method, self.address, target, timeout_s, headers, body
             )
+        except asyncio.CancelledError:
+            # A watch is cancelled after its own, shorter time.
+            self.client.close_idle(self.address)
+            raise
         except CallFailedError as error:
+            # What silenced one connection may have silenced all that were open.
+            self.client.close_idle(self.address)
             kind = StoreError if error.sent else StoreRefusedError
             raise kind(str(error)) from error
         # An answer that was delayed may be of an earlier era.
