--- a/src/cassiaford/gateway/_peers.py
+++ b/src/cassiaford/gateway/_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import socket
 from collections.abc import Callable
 
 from cassiaford.gateway._crashes import CrashMonitor
@@ -35,6 +36,9 @@
 WHOLE_EVERY_REPORTS = 10
 # Up to this many reports in a row are skipped if nothing has changed.
 MAX_SKIPPED_REPORTS = 3
+# Reports that are read in one iteration of the event loop.
+MAX_WAITING_REPORTS = 256
+MAX_DATAGRAM_BYTES = 65_536
 
 
 class PeerReports(asyncio.DatagramProtocol):
@@ -77,6 +81,7 @@
         )
         self.customers_by_digest: dict[int, str] = {}
         self.transport: asyncio.DatagramTransport | None = None
+        self._socket: socket.socket | None = None
         self._sequence = itertools.count(1)
         self._newest: dict[int, tuple[int, int]] = {}
         self._states: dict[int, PeerState] = {}
@@ -88,13 +93,35 @@
         self._now = asyncio.get_running_loop().time
 
     def connection_made(self, transport):
-        """Store the transport of the socket."""
+        """Store the transport, and a handle of its socket."""
         self.transport = transport
+        self._socket = transport.get_extra_info("socket").dup()
+
+    def connection_lost(self, exc):
+        """Close the handle of the socket."""
+        self._socket.close()
 
     def error_received(self, exc):
         """Ignore a peer's closed port; its silence is detected anyway."""
 
     def datagram_received(self, data, addr):
+        """Process a report and those behind it.
+
+        The event loop reads one datagram an iteration, while a busy iteration may
+        take longer than the time between two of all peers' reports.
+        """
+        self.receive(data, addr)
+        for _ in range(MAX_WAITING_REPORTS):
+            try:
+                data, addr = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.error_received(error)
+                return
+            self.receive(data, addr)
+
+    def receive(self, data, addr):
         """Process a report, or pass on what is not one."""
         try:
             report = decode_message(data)
@@ -238,7 +265,7 @@
             for key, tokens in report.spending.items()
             if key in self.customers_by_digest
         }
-        self.rates.update_from_peer(name, report.incarnation, spent, now)
+        self.rates.update_from_peer(name, report.incarnation, spent, now, report.whole)
         if self.peers_out_of_use.get(name, frozenset()) != report.out_of_use:
             self.peers_out_of_use[name] = report.out_of_use
             self.on_out_of_use()
--- a/src/cassiaford/platform/_store.py
+++ b/src/cassiaford/platform/_store.py
@@ -141,13 +141,12 @@
                 method, self.address, target, timeout_s, headers, body
             )
         except asyncio.CancelledError:
-            # A watch was abandoned, since its connection seems to be silent.
-            self.client.pool.close_idle(self.address)
+            # A watch is cancelled after its own, shorter time.
+            self.client.close_idle(self.address)
             raise
         except CallFailedError as error:
-            # Idle connections may have been lost with this one, and each call that
-            # tries one of them would fail too.
-            self.client.pool.close_idle(self.address)
+            # What silenced one connection may have silenced all that were open.
+            self.client.close_idle(self.address)
             kind = StoreError if error.sent else StoreRefusedError
             raise kind(str(error)) from error
         # An answer that was delayed may be of an earlier era.
