--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -117,7 +117,7 @@
         self.rollout = Rollout(self.view.named_versions, self.settings.weights_within_s)
         self.view.on_versions_changed = self.engines.clear_cached_prefixes
         self.view.on_servers_changed = self._servers_changed
-        self.view.on_configuration_changed = self._update_readiness
+        self.view.on_configuration_changed = self._configuration_changed
 
     def _create_store_clients(self):
         records = self.adapter.records
@@ -128,7 +128,7 @@
             Section(OWN_PREFIX, max_lag_s=OWN_KEYS_MAX_LAG_S),
         )
         self.mirror = Mirror(sections, self.view)
-        self.view.is_reading = lambda: self.mirror.replacing
+        self.view.is_reading = lambda: self.mirror.catching_up
         self.sync = MirrorSync(self.mirror, self.adapter.store, self.rng, self.log)
         self.rollout.bound.stable_since = self.sync.stable_since
         self.registration = Registration(
@@ -294,6 +294,7 @@
         self.settings = replace(settings, addresses=addresses)
         self.front.set_retry_limits(settings.retry_limits)
         self.rollout.bound.within_s = settings.weights_within_s
+        self.terms.term_s = settings.weights_within_s - START_MARGIN_S
         self.log.write(Event.SETTINGS_RELOADED, addresses_kept=unchanged)
 
     @property
@@ -380,9 +381,6 @@
             self._remove_peer(name)
         self._update_readiness()
         self.rates.set_members(self.table.expected(), now)
-        self.peers.set_customers(
-            self.view.configuration.customers if self.view.configuration else ()
-        )
         self.peers.unreachable = self.prober.unreachable
         self._out_of_use_changed()
         self.placer.unreachable_stores = self.store_prober.unreachable
@@ -403,6 +401,11 @@
                 self.log.write(Event.INSTANCE_READY)
             self.peers.send_report()
 
+    def _configuration_changed(self):
+        # Reports that arrive now may name any customer with a rate.
+        self.peers.set_customers(self.view.configuration.customers)
+        self._update_readiness()
+
     def _servers_changed(self):
         keys = {key for servers in self.view.servers.values() for key in servers}
         self.engines.retain(keys)
--- a/src/cassiaford/gateway/_version_terms.py
+++ b/src/cassiaford/gateway/_version_terms.py
@@ -84,6 +84,8 @@
         self.sync = sync
         self.records: dict[str, VersionRecord] = {}
         self.terms: set[str] = set()
+        # When the time of a version was first found to be over, by key.
+        self.over_since: dict[str, float] = {}
         self.may_write: Callable[[], bool] = lambda: False
         self.is_complete: Callable[[], bool] = lambda: False
         self._complete_since: float | None = None
@@ -99,9 +101,10 @@
         elif change.item is None:
             self.records.pop(change.key, None)
         else:
-            self.records[change.key] = decode_record(
-                change.item.value, change.item.revision
-            )
+            # A record that cannot be decoded is written anew.
+            revision = change.item.revision
+            self.records[change.key] = VersionRecord("", (), revision)
+            self.records[change.key] = decode_record(change.item.value, revision)
 
     async def run(self) -> None:
         """Go by the records, and write them while it may, until cancelled."""
@@ -116,16 +119,23 @@
 
     def apply_records(self) -> None:
         """Take the versions for overdue whose time is over, if nobody knows better."""
-        if not self._is_informed():
-            return
+        informed, now = self._is_informed(), self.view.now()
         named = self.view.named_versions
-        for record in self.records.values():
-            for version in record.versions:
-                if self._term_key(record.model, version) in self.terms:
-                    continue
-                if not named.is_witnessed(record.model, version):
-                    age = VersionAge(record.model, version, self.term_s)
-                    self.view.update_recorded_age(age)
+        over = self._versions_over() if self.is_complete() else {}
+        self.over_since = {key: self.over_since.get(key, now) for key in over}
+        for key, (model, version) in over.items():
+            if informed and not named.is_witnessed(model, version):
+                age_s = self.term_s + now - self.over_since[key]
+                self.view.update_recorded_age(VersionAge(model, version, age_s))
+
+    def _versions_over(self):
+        """Return the recorded versions whose time is over, by their keys."""
+        recorded = {
+            self._term_key(record.model, version): (record.model, version)
+            for record in self.records.values()
+            for version in record.versions
+        }
+        return {k: version for k, version in recorded.items() if k not in self.terms}
 
     def _is_informed(self):
         """Return whether peers have had the time to tell what they know."""
@@ -139,12 +149,12 @@
 
     async def _write_records(self):
         """Write what is not recorded yet; return the time until the next step."""
-        for model in self.view.named_versions.models:
-            if due := self._due(model):
-                await self._try_to_write(model, due)
-                # The record comes back with a watch.
-                return RETRY_INTERVAL_S
-        return STEP_INTERVAL_S
+        due = {model: self._due(model) for model in self.view.named_versions.models}
+        due = {model: ages for model, ages in due.items() if ages}
+        for model, ages in due.items():
+            await self._try_to_write(model, ages)
+        # What was written comes back with a watch.
+        return RETRY_INTERVAL_S if due else STEP_INTERVAL_S
 
     async def _try_to_write(self, model, due):
         started_at = self.sync.clock()
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -47,7 +47,7 @@
     before their entries are gone. `recent_software` has the software versions of
     each service lately, and `recent_targets` the services of each route. The
     gateway sets the callbacks, and `is_reading`, which returns whether a change
-    was found by reading a part of the store anew.
+    may have been made long before it was read.
     """
 
     def __init__(self, decoder: RecordDecoder, rates: FleetRates, log: EventLog):
@@ -122,8 +122,9 @@
 
     def version_ages(self) -> tuple[VersionAge, ...]:
         """Return the ages of all named versions, with models as digests."""
+        # Clocks are not read at one moment, and no report can hold a negative age.
         return tuple(
-            replace(age, model=digest(model))
+            replace(age, model=digest(model), age_s=max(0.0, age.age_s))
             for model in self.named_versions.models
             for age in self.named_versions.ages(model, self.now())
         )
--- a/src/cassiaford/gateway/policy/_fleet_rates.py
+++ b/src/cassiaford/gateway/policy/_fleet_rates.py
@@ -7,6 +7,7 @@
 them.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -58,8 +59,9 @@
 class _Bucket:
     """The fleet's tokens for one customer, as this instance estimates them."""
 
-    def __init__(self, limit, now):
+    def __init__(self, limit, window_s, now):
         self.limit = limit
+        self.window_s = window_s
         self.level = limit.burst * INITIAL_LEVEL_FRACTION
         self.updated_at = now
         self.spent = 0.0
@@ -67,16 +69,40 @@
         self.next_retry_at = 0.0
         self.peer_spent = {}
         self.reserved = {}
+        self.heard_fraction = 1.0
 
     def advance(self, now, silent, members):
+        self._reserve_parts(silent, members)
+        self.heard_fraction = 1.0 - len(silent) / max(1, members)
         elapsed = max(0.0, now - self.updated_at)
         self.updated_at = max(now, self.updated_at)
         share = self.limit.rate * elapsed / max(1, members)
         for peer in silent:
-            self.reserved[peer] = self.reserved.get(peer, 0.0) + share
+            self.reserved[peer] += share
         gained = self.limit.rate * elapsed - share * len(silent)
         self.level = min(self.limit.burst, self.level + max(0.0, gained))
 
+    def _reserve_parts(self, silent, members):
+        """Reserve the even parts of peers that have become silent."""
+        new = [peer for peer in silent if peer not in self.reserved]
+        if not new:
+            return
+        part = self.level / max(1, members - len(silent) + len(new))
+        for peer in new:
+            self.reserved[peer] = part
+            self.level -= part
+
+    def min_level(self, tokens):
+        """Return the level above which a request is granted.
+
+        A large request may leave a debt. In a cut, the debts of all sides together
+        are at most that of one request.
+        """
+        if tokens <= SMALL_REQUEST_FRACTION * self.limit.burst:
+            max_debt = SMALL_REQUEST_DEBT_FRACTION * self.limit.burst
+            return -max_debt * self.heard_fraction
+        return tokens * (1.0 - self.heard_fraction)
+
     def spend(self, tokens):
         self.level -= tokens
         # Peers receive a total that never falls, so refunds are deducted from
@@ -100,8 +126,9 @@
             return
         self.peer_spent[peer] = (incarnation, spent)
         reserved = self.reserved.pop(peer, 0.0)
-        self.level -= max(0.0, spent - before - reserved)
-        self.level = max(self.level, -self.limit.burst)
+        self.level = min(self.limit.burst, self.level + reserved + before - spent)
+        # What was spent a window ago no longer counts.
+        self.level = max(self.level, -self.limit.rate * self.window_s)
 
 
 class FleetRates:
@@ -120,43 +147,70 @@
     def __init__(self, window_s: float = DEFAULT_WINDOW_S):
         self.window_s = window_s
         self.buckets: dict[str, _Bucket] = {}
+        # Totals go on if a customer returns: a peer may have seen no removal.
+        self.removed: dict[str, _Bucket] = {}
         self.last_report_at: dict[str, float] = {}
         self.members: frozenset[str] = frozenset()
+        self.configured = False
+        # The peers from which a whole report came since the first configuration.
+        self.incarnations: dict[str, int] = {}
+        self._silent: tuple[str, ...] = ()
+        self._next_silence_at = -math.inf
 
     def configure(self, limits: dict[str, Limit], now: float) -> None:
         """Apply the customers' limits; customers not named have none."""
         for customer in set(self.buckets) - set(limits):
-            del self.buckets[customer]
+            self.removed[customer] = self.buckets.pop(customer)
         for customer, stated in limits.items():
             limit = stated.bucket_limit(self.window_s)
+            if customer in self.removed:
+                self.buckets[customer] = self.removed.pop(customer)
             bucket = self.buckets.get(customer)
             if bucket is None:
-                self.buckets[customer] = _Bucket(limit, now)
+                self.buckets[customer] = self._new_bucket(limit, now)
             elif bucket.limit != limit:
                 self._advance(bucket, now)
                 bucket.limit = limit
                 bucket.level = min(bucket.level, limit.burst)
+        self.configured = True
 
     def set_members(self, peers: Iterable[str], now: float) -> None:
         """Set the names of the other instances that may spend tokens."""
         for bucket in self.buckets.values():
             self._advance(bucket, now)
         self.members = frozenset(peers)
+        self._next_silence_at = -math.inf
         for peer in self.members:
             self.last_report_at.setdefault(peer, now)
         for peer in set(self.last_report_at) - self.members:
             del self.last_report_at[peer]
+            self.incarnations.pop(peer, None)
 
     def update_from_peer(
-        self, peer: str, incarnation: int, spent: dict[str, float], now: float
+        self,
+        peer: str,
+        incarnation: int,
+        spent: dict[str, float],
+        now: float,
+        whole: bool = True,
     ) -> None:
-        """Apply what a peer has spent since its start, by customer."""
+        """Apply what a peer has spent since its start, by customer.
+
+        In a whole report, a customer that is not named has spent nothing there.
+        Before the first one, it is unknown when a peer's spending occurred.
+        """
+        if whole:
+            spent = dict.fromkeys(self.buckets, 0.0) | spent
+            if self.configured:
+                self.incarnations[peer] = incarnation
         for customer, amount in spent.items():
             bucket = self.buckets.get(customer)
             if bucket is not None:
                 self._advance(bucket, now)
                 bucket.update_from_peer(peer, incarnation, amount)
         self.last_report_at[peer] = now
+        if peer in self._silent:
+            self._next_silence_at = -math.inf
 
     def charge(self, customer: str, tokens: float, now: float) -> bool:
         """Take tokens if the fleet has any left; return whether it had.
@@ -168,9 +222,7 @@
         if bucket is None:
             return True
         self._advance(bucket, now)
-        small = tokens <= SMALL_REQUEST_FRACTION * bucket.limit.burst
-        min_level = -SMALL_REQUEST_DEBT_FRACTION * bucket.limit.burst if small else 0.0
-        if bucket.level <= min_level:
+        if bucket.level <= bucket.min_level(tokens):
             return False
         bucket.spend(tokens)
         return True
@@ -218,12 +270,28 @@
 
     def spent(self) -> dict[str, float]:
         """Return what this instance has spent since its start, by customer."""
-        return {name: b.spent for name, b in self.buckets.items() if b.spent}
+        buckets = self.buckets | self.removed
+        return {name: b.spent for name, b in buckets.items() if b.spent}
+
+    def _new_bucket(self, limit, now):
+        """Return a customer's bucket; peers that were heard had not spent from it."""
+        bucket = _Bucket(limit, self.window_s, now)
+        bucket.peer_spent = {p: (i, 0.0) for p, i in self.incarnations.items()}
+        return bucket
 
     def _advance(self, bucket, now):
-        silent = [
-            peer
-            for peer in self.members
-            if now - self.last_report_at.get(peer, now) > PEER_SILENCE_TIMEOUT_S
-        ]
-        bucket.advance(now, silent, len(self.members) + 1)
+        bucket.advance(now, self._silent_peers(now), len(self.members) + 1)
+
+    def _silent_peers(self, now):
+        """Return the peers without a recent report.
+
+        They are determined anew only once one of the others may have become silent.
+        """
+        if now > self._next_silence_at:
+            last = {peer: self.last_report_at.get(peer, now) for peer in self.members}
+            self._silent = tuple(
+                peer for peer, at in last.items() if now - at > PEER_SILENCE_TIMEOUT_S
+            )
+            heard = (at for peer, at in last.items() if peer not in self._silent)
+            self._next_silence_at = min(heard, default=now) + PEER_SILENCE_TIMEOUT_S
+        return self._silent
