--- a/tests/test_streams_across_instances.py
+++ b/tests/test_streams_across_instances.py
@@ -133,6 +133,7 @@
         await self.take_one_event(callers, first)
         await self.kill(first)
         again = await self.start_gateway("entry-0")
+        await self.wait_until(again.table.all)
         self.back_off(again, callers)
         await self.finish(callers, again)
         self.assert_whole(callers)
