--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -290,6 +290,42 @@
             self.assertNotIn(b"id: 1\n", response.body)
             self.assertEqual(worker.calls[-1].headers["last-event-id"], "1")
 
+    async def start_long_ago(self):
+        """Return a gateway that has watched for longer than any request lasts."""
+        await self.store.put("op/config", configuration())
+        await self.start_worker("i-0", "engine")
+        gateway = await self.start_gateway()
+        gateway.view.recent_software.started_at -= 100.0
+        gateway.view.recent_targets.started_at -= 100.0
+        return gateway
+
+    async def resume_unknown(self, gateway):
+        return await self.call_engine(gateway, Last_Event_Id="1", Resumes="never-seen")
+
+    async def test_a_lower_timeout_makes_no_older_stream_certain(self):
+        gateway = await self.start_long_ago()
+        other = await self.start_worker("j-0", "engine", software_version="v2")
+        await self.wait_until(lambda: self._has_all_workers(gateway))
+        await self.store.remove("servers/j-0")
+        other.state = "gone"
+        await self.wait_until(lambda: self._has_all_workers(gateway))
+        ended = gateway.view.recent_software.ended
+        ended["engine", "v2"] -= 15.0
+        self.assertEqual((await self.resume_unknown(gateway)).status, 503)
+        lowered = [{**r, "TimeoutMs": 2000} for r in configuration()["Routes"]]
+        await self.store.put("op/config", configuration(2, Routes=lowered))
+        await self.wait_until(lambda: gateway.view.configuration.version == 2)
+        self.assertEqual((await self.resume_unknown(gateway)).status, 503)
+
+    async def test_a_section_that_was_read_anew_may_have_missed_a_version(self):
+        gateway = await self.start_long_ago()
+        self.assertEqual((await self.resume_unknown(gateway)).status, 200)
+        mirror = gateway.mirror
+        page = mirror.snapshot()["servers/"]
+        page = replace(page, revision=page.revision + 1)
+        mirror.replace("servers/", page, mirror.era)
+        self.assertEqual((await self.resume_unknown(gateway)).status, 503)
+
 
 class ReplayTest(DispatcherCase):
     """The product's own path, which replays a lost stream at another server."""
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -3,6 +3,7 @@
 import json
 import types
 import unittest
+from dataclasses import replace
 
 from cassiaford.gateway import Configuration, RequestKind, Route, Target
 from cassiaford.gateway._stream_origins import (
@@ -99,6 +100,13 @@
         self.targets.update({"ask": {"engine"}}, OLDEST + 1.0)
         self.assertIsNone(self.find())
 
+    def test_a_stream_may_have_begun_on_the_route_before_a_new_one(self):
+        added = replace(ROUTE, name="ask-more", path_prefix="/more/")
+        both = {"ask": {"other"}, "ask-more": {"engine"}}
+        self.targets.update(both, OLDEST + 1.0)
+        self.assertIsNone(self.origins.find(added, 100.0))
+        self.assertEqual(self.origins.find(added, 200.0), ORIGIN)
+
     def test_an_instance_that_may_have_missed_a_version_knows_nothing(self):
         self.in_touch_since = OLDEST + 1.0
         self.assertIsNone(self.find())
