--- a/src/cassiaford/gateway/_stream_origins.py
+++ b/src/cassiaford/gateway/_stream_origins.py
@@ -44,6 +44,9 @@
         begun_after = now - self._longest_request_s()
         if not self.in_touch_since(begun_after):
             return None
+        if not self.view.recent_targets.has_since(route.name, begun_after):
+            # The stream may have begun on another route.
+            return None
         service = _only(self.view.recent_targets.since(route.name, begun_after))
         if service is None:
             return None
--- a/src/cassiaford/gateway/policy/_recent_values.py
+++ b/src/cassiaford/gateway/policy/_recent_values.py
@@ -24,18 +24,30 @@
         self.started_at: float | None = None
         self.current: dict[Hashable, frozenset] = {}
         self.ended: dict[tuple[Hashable, Hashable], float] = {}
+        self.added_at: dict[Hashable, float] = {}
 
     def update(self, values: Mapping[Hashable, set], now: float) -> None:
         """Set the values of all keys."""
+        current = {key: frozenset(held) for key, held in values.items()}
         if self.started_at is None:
             self.started_at = now
-        current = {key: frozenset(held) for key, held in values.items()}
+        else:
+            added = dict.fromkeys(current.keys() - self.current.keys(), now)
+            self.added_at = {**self.added_at, **added}
         for key, held in self.current.items():
             for value in held - current.get(key, frozenset()):
                 self.ended[key, value] = now
         self.current = current
         oldest = now - ENDED_KEPT_S
         self.ended = {pair: at for pair, at in self.ended.items() if at >= oldest}
+        self.added_at = {k: at for k, at in self.added_at.items() if k in current}
+        self.started_at = max(self.started_at, oldest)
+
+    def has_since(self, key: Hashable, moment: float) -> bool:
+        """Return whether a key has been there all the time since a moment."""
+        if self.started_at is None or key not in self.current:
+            return False
+        return self.added_at.get(key, self.started_at) <= moment
 
     def since(self, key: Hashable, moment: float) -> frozenset | None:
         """Return the values that a key has had since a moment, None if unknown."""
