--- a/src/cassiaford/gateway/_stream_origins.py
+++ b/src/cassiaford/gateway/_stream_origins.py
@@ -41,7 +41,8 @@
 
     def find(self, route: Route, now: float) -> StreamOrigin | None:
         """Return the origin of any stream of a route, or None if uncertain."""
-        begun_after = now - self._longest_request_s()
+        # A stream that began before a timeout was lowered may last for longer.
+        begun_after = now - LONGEST_REQUEST_FACTOR * self.view.longest_timeout_s
         if not self.in_touch_since(begun_after):
             return None
         if not self.view.recent_targets.has_since(route.name, begun_after):
@@ -53,10 +54,6 @@
         software = self.view.recent_software.since(service, begun_after)
         return origin_of(service, _only(software))
 
-    def _longest_request_s(self):
-        routes = self.view.configuration.routes
-        return LONGEST_REQUEST_FACTOR * max(route.timeout_s for route in routes)
-
 
 def _only(values):
     """Return the only one of some values, or None."""
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -45,9 +45,10 @@
 
     `replaced_keys` are the servers whose address another server has taken over
     before their entries are gone. `recent_software` has the software versions of
-    each service lately, and `recent_targets` the services of each route. The
-    gateway sets the callbacks, and `is_reading`, which returns whether a change
-    may have been made long before it was read.
+    each service lately, and `recent_targets` the services of each route;
+    `longest_timeout_s` is that of any route so far. The gateway sets the callbacks,
+    and `is_reading`, which returns whether a change may have been made long before
+    it was read.
     """
 
     def __init__(self, decoder: RecordDecoder, rates: FleetRates, log: EventLog):
@@ -64,6 +65,7 @@
         self._unread_versions = NamedVersions(suspended_s)
         self.recent_software = RecentValues()
         self.recent_targets = RecentValues()
+        self.longest_timeout_s = 0.0
         self.on_version_named: Callable[[], None] = lambda: None
         self.is_reading: Callable[[], bool] = lambda: False
         self.on_versions_changed: Callable[[int], None] = lambda key: None
@@ -182,6 +184,8 @@
             {r.name: {t.service for t in r.targets} for r in configuration.routes},
             self.now(),
         )
+        timeouts_s = (route.timeout_s for route in configuration.routes)
+        self.longest_timeout_s = max(self.longest_timeout_s, *timeouts_s, 0.0)
         limits = {
             name: Limit(customer.rate, customer.burst)
             for name, customer in configuration.customers.items()
