--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -425,7 +425,8 @@
         age_s = self.sync.age_s(self.adapter.records.servers_prefix)
         if age_s is None or age_s > self.settings.changes_within_s:
             return False
-        return self.sync.stable_since() <= moment
+        followed_since = max(self.sync.stable_since(), self.sync.followed_since)
+        return followed_since <= moment
 
     def _instance_count(self):
         """Return the size of the fleet, or None before its entries were read."""
--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import time
 from abc import ABC, abstractmethod
@@ -194,6 +195,9 @@
     outages that have lasted for the shortest lag. Since a response may come long
     after the store is back, an outage lasted no longer than until the last call
     that failed in it was started.
+
+    `followed_since` is when a section was last read after a gap longer than its
+    longest lag. A page read then does not show what came and went in the gap.
     """
 
     def __init__(
@@ -212,6 +216,7 @@
         self.suspended_s: Callable[[], float] = suspended_s
         self.failing: set[str] = set()
         self.confirmed_at: dict[str, float] = {}
+        self.followed_since = math.inf
         self.last_response_at: float | None = None
         self.lost_at: float | None = None
         self.in_outage = False
@@ -284,7 +289,7 @@
             return era
         self._enter_era()
         self.mirror.replace(section.prefix, page, self.mirror.era)
-        self.confirmed_at[section.prefix] = self._time()
+        self._confirm(section)
         return self.mirror.era
 
     def _enter_era(self):
@@ -313,10 +318,16 @@
             return
         late = self.age_s(section.prefix) > section.max_lag_s
         self.mirror.apply(section.prefix, changes, late)
-        self.confirmed_at[section.prefix] = self._time()
+        self._confirm(section)
         if changes.changes:
             await asyncio.sleep(section.batch_window_s)
 
+    def _confirm(self, section):
+        age_s = self.age_s(section.prefix)
+        if age_s is None or age_s > section.max_lag_s:
+            self.followed_since = self.clock()
+        self.confirmed_at[section.prefix] = self._time()
+
     def _log_failed_watch(self, section, error):
         age_s = self.age_s(section.prefix)
         self.log.write(
