--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -249,7 +249,10 @@
         """Record where the stream began, before its caller sees an event."""
         job = self.job
         if not job.continues:
-            job.origin = choice.server.origin
+            job.origin = self.context.view.origin_of(choice.server)
+            if job.route.resumable:
+                now = self.loop.time()
+                self.context.begun.record(job.first_attempt_id, choice.server, now)
         if job.route.resumable:
             self.context.origins.record(job.first_attempt_id, job.origin)
 
--- a/src/cassiaford/gateway/_exchange_context.py
+++ b/src/cassiaford/gateway/_exchange_context.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass
 
+from cassiaford.gateway._begun_streams import BegunStreams
 from cassiaford.gateway._crashes import CrashMonitor
 from cassiaford.gateway._dialect import Dialect
 from cassiaford.gateway._event_log import EventLog
@@ -30,3 +31,4 @@
     rng: random.Random
     origins: StreamOrigins
     sole_origins: SoleOrigins
+    begun: BegunStreams
--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from cassiaford.gateway._begun_streams import BegunStreams
 from cassiaford.gateway._caller_connection import CallerConnection, RequestHandler
 from cassiaford.gateway._configuration import (
     CallerLimits,
@@ -69,6 +70,7 @@
         rng: random.Random,
         origins: StreamOrigins,
         sole_origins: SoleOrigins,
+        begun: BegunStreams,
     ):
         self.dialect = dialect
         self.view = view
@@ -90,6 +92,7 @@
             rng,
             origins,
             sole_origins,
+            begun,
         )
         self.instance_count: Callable[[], int | None] = lambda: 1
         self.state_ages: Callable[[], dict[str, object]] = dict
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 
 from cassiaford.gateway._adapter import PlatformAdapter
+from cassiaford.gateway._begun_streams import BegunStreams
 from cassiaford.gateway._caller_connection import CallerConnection, listen
 from cassiaford.gateway._clocks import SuspensionWatch
 from cassiaford.gateway._copies import StoreCopies
@@ -131,6 +132,7 @@
         self.view.is_reading = lambda: self.mirror.catching_up
         self.sync = MirrorSync(self.mirror, self.adapter.store, self.rng, self.log)
         self.rollout.bound.stable_since = self.sync.stable_since
+        self.view.servers_age_s = lambda: self.sync.age_s(records.servers_prefix)
         self.registration = Registration(
             INSTANCES_PREFIX + self.state.name,
             self.state,
@@ -179,6 +181,8 @@
         self.crashes.on_crash = self.peers.send_report
         self.origins = SharedStreamOrigins(self.table)
         self.origins.send = self.peers.send
+        self.begun = BegunStreams()
+        self.view.on_server_started = self._server_started
         self.peers.on_origins = self.origins.receive
         self.view.on_own_key_changed = OwnKeys(
             self.table,
@@ -189,7 +193,7 @@
             self.log,
         ).on_change
         self.prober = ServerProber(self.view, self.health, self.adapter.pool, self.log)
-        self.prober.on_refused = self.crashes.record_server_end
+        self.prober.on_refused = self._server_refused
         self.orderer.unreachable = lambda: self.prober.unreachable
         self.store_prober = PrefixStoreProber(self.view, self.adapter.pool, self.log)
         self.peers.on_unreachable = self.prober.probe_reported
@@ -229,6 +233,7 @@
             rng=self.rng,
             origins=self.origins,
             sole_origins=SoleOrigins(self.view, self._in_touch_since),
+            begun=self.begun,
         )
         if not settings.first_start:
             now = self.loop.time()
@@ -420,6 +425,16 @@
         )
         self._update_readiness()
 
+    def _server_started(self, server):
+        """Doubt the streams that this start may have begun before it was known."""
+        since = self.view.unread_since()
+        for attempt_id in self.begun.of_other_software(server, since):
+            self.origins.doubt(attempt_id)
+
+    def _server_refused(self, server):
+        self.crashes.record_server_end(server)
+        self.view.record_refusal(server)
+
     def _in_touch_since(self, moment):
         """Return whether no change of the servers has been missed since a time."""
         age_s = self.sync.age_s(self.adapter.records.servers_prefix)
--- a/src/cassiaford/gateway/_server_chooser.py
+++ b/src/cassiaford/gateway/_server_chooser.py
@@ -77,7 +77,17 @@
             job.route,
             now,
             self._may_withdraw(now),
-            job.may_continue_at if job.continues else None,
+            self._continues_at() if job.continues else None,
+        )
+
+    def _continues_at(self):
+        """Return the test whether a server may continue the stream."""
+        job, context = self.job, self.context
+        if context.origins.is_ambiguous(job.first_attempt_id):
+            # The server that began it turned out to be another start.
+            job.origin = None
+        return lambda server: (
+            job.may_continue_at(server) and not context.view.is_doubtful(server)
         )
 
     def _may_withdraw(self, now):
--- a/src/cassiaford/gateway/_shared_origins.py
+++ b/src/cassiaford/gateway/_shared_origins.py
@@ -78,6 +78,17 @@
             message = OriginMessage(told=(record,))
             self._send(message, self._first_peers(record.attempt, TOLD_PEERS))
 
+    def doubt(self, attempt_id: str) -> None:
+        """Make a stream's origin ambiguous, also at those who may be asked for it."""
+        record = self.origins.record(attempt_id, None, self._loop.time())
+        message = OriginMessage(told=(record,))
+        self._send(message, self._first_peers(record.attempt, ASKED_PEERS))
+
+    def is_ambiguous(self, attempt_id: str) -> bool:
+        """Return whether what is known here of a stream's origin is contradictory."""
+        record = self.origins.find(attempt_id, self._loop.time())
+        return record is not None and record.origin is None
+
     async def find(self, attempt_id: str) -> StreamOrigin | None:
         """Return where a stream began, from this instance or from its peers."""
         record = self.origins.find(attempt_id, self._loop.time())
--- a/src/cassiaford/gateway/_stream_origins.py
+++ b/src/cassiaford/gateway/_stream_origins.py
@@ -23,6 +23,10 @@
         stands for an unknown origin.
         """
 
+    @abstractmethod
+    def is_ambiguous(self, attempt_id: str) -> bool:
+        """Return whether what is known here of a stream's origin is contradictory."""
+
     @abstractmethod
     async def find(self, attempt_id: str) -> StreamOrigin | None:
         """Return where the stream of an attempt began, or None if uncertain."""
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -1,6 +1,7 @@
 """The gateway's view of the store: configuration, backend servers, versions."""
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
@@ -23,9 +24,14 @@
     VersionSource,
 )
 from cassiaford.logs import Event
+from cassiaford.origins import StreamOrigin
 
 # Smaller corrections of a version's age are not logged.
 MIN_LOGGED_CORRECTION_S = 0.5
+# A server's new start has its entry in the store after this time at the latest.
+REGISTRATION_S = 1.0
+# A server that refused a connection may have been reached again this much later.
+REFUSAL_S = 2.0
 # Peers may know models of which this instance has read nothing yet.
 MAX_UNREAD_MODELS = 64
 
@@ -47,8 +53,8 @@
     before their entries are gone. `recent_software` has the software versions of
     each service lately, and `recent_targets` the services of each route;
     `longest_timeout_s` is that of any route so far. The gateway sets the callbacks,
-    and `is_reading`, which returns whether a change may have been made long before
-    it was read.
+    `is_reading`, which returns whether a change may have been made long before it
+    was read, and `servers_age_s`, which returns when the servers were last read.
     """
 
     def __init__(self, decoder: RecordDecoder, rates: FleetRates, log: EventLog):
@@ -66,11 +72,14 @@
         self.recent_software = RecentValues()
         self.recent_targets = RecentValues()
         self.longest_timeout_s = 0.0
+        self.refused_at: dict[int, float] = {}
         self.on_version_named: Callable[[], None] = lambda: None
         self.is_reading: Callable[[], bool] = lambda: False
         self.on_versions_changed: Callable[[int], None] = lambda key: None
         self.on_own_key_changed: Callable[[Change], None] = lambda change: None
         self.on_server_ended: Callable[[BackendServer], None] = lambda server: None
+        self.on_server_started: Callable[[BackendServer], None] = lambda server: None
+        self.servers_age_s: Callable[[], float | None] = lambda: None
         self.on_servers_changed: Callable[[], None] = lambda: None
         self.on_configuration_changed: Callable[[], None] = lambda: None
         self.now = asyncio.get_running_loop().time
@@ -109,6 +118,38 @@
             self._index_servers()
             self.on_server_ended(server)
 
+    def record_refusal(self, server: BackendServer) -> None:
+        """Record that no process listens at a server's address now."""
+        self.refused_at[server_key(server)] = self.now()
+
+    def is_doubtful(self, server: BackendServer) -> bool:
+        """Return whether a server may have started again since its entry was read.
+
+        Who refused a connection has ended, so whoever is there next is another
+        start, whose entry tells its software.
+        """
+        refused_at = self.refused_at.get(server_key(server))
+        if refused_at is None:
+            return False
+        return self._read_at() < refused_at + REFUSAL_S + REGISTRATION_S
+
+    def origin_of(self, server: BackendServer) -> StreamOrigin | None:
+        """Return the origin of a stream that begins now, or None if uncertain."""
+        key = f"{self.decoder.servers_prefix}{server.server_id}"
+        entry = self.registry.servers.get(key)
+        succeeded = entry is not None and entry.incarnation != server.incarnation
+        if self.is_doubtful(server) or succeeded and entry.origin != server.origin:
+            return None
+        return server.origin
+
+    def unread_since(self) -> float:
+        """Return since when a server may have started whose entry is read now."""
+        return self._read_at() - REGISTRATION_S
+
+    def _read_at(self):
+        age_s = self.servers_age_s()
+        return -math.inf if age_s is None else self.now() - age_s
+
     def is_serving(self, service: str, key: int) -> bool:
         """Return whether a server takes requests for a service."""
         return key in self.servers.get(service, {})
@@ -278,6 +319,7 @@
                 self._log_loaded(server)
             else:
                 self._log_server(previous, server)
+            self.on_server_started(server)
         self._index_servers()
 
     def _remove_server(self, key):
@@ -318,6 +360,7 @@
             if not server.draining and key not in self.replaced_keys:
                 servers.setdefault(server.service, {})[key] = server
         self.replaced_keys &= keys
+        self.refused_at = {k: at for k, at in self.refused_at.items() if k in keys}
         self.servers = servers
         previous, self._serving = self._serving, serving
         for key in previous.keys() - keys:
--- a/tests/test_shared_origins.py
+++ b/tests/test_shared_origins.py
@@ -323,6 +323,23 @@
 
         run_in_virtual_time(run())
 
+    def test_a_doubted_origin_is_unknown_to_all_who_are_asked(self):
+        async def run():
+            network = Network()
+            network.start_all(9)
+            ranked = first_peers(9, "a")
+            network.origins[ranked[8]].record("a", V1)
+            await asyncio.sleep(0.01)
+            network.origins[ranked[8]].doubt("a")
+            await asyncio.sleep(0.01)
+            network.kill(ranked[8])
+            for name in tuple(network.origins):
+                self.assertIsNone(await network.origins[name].find("a"))
+            self.assertTrue(network.origins[ranked[0]].is_ambiguous("a"))
+            self.assertFalse(network.origins[ranked[0]].is_ambiguous("b"))
+
+        run_in_virtual_time(run())
+
     def test_an_origin_that_an_instance_has_never_heard_of_is_unknown(self):
         async def run():
             network = Network()
