--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -142,6 +142,28 @@
         self.assertTrue(caller.finished)
         self.assertEqual(caller.software_versions, {chosen.software_version})
 
+    async def test_an_idle_answer_is_not_cut_for_a_server_that_is_down(self):
+        chosen = await self.first_choice()
+        chosen.behaviours = [Behaviour.HOLD_STREAM]
+        mate = self.mate_of(chosen)
+        mate.crash()
+        self.back_off(mate)
+        caller = ResumingCaller(self)
+        with (
+            mock.patch.object(_exchange, "STREAM_IDLE_TIMEOUT_S", 0.01),
+            mock.patch.object(
+                ServerChooser,
+                "has_another_server",
+                autospec=True,
+                side_effect=ServerChooser.has_another_server,
+            ) as asked,
+        ):
+            attempt = asyncio.create_task(caller.attempt(self.gateway))
+            await self.wait_until(lambda: asked.call_count >= 3 or attempt.done())
+            chosen.released.set()
+            await attempt
+        self.assertTrue(caller.finished)
+
     async def test_a_request_without_an_event_is_sent_to_any_version(self):
         chosen = await self.first_choice()
         chosen.behaviours = [Behaviour.CRASH]
