--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -104,13 +104,15 @@
         now: float,
         may_withdraw: bool = False,
         may_continue: Callable[[BackendServer], bool] | None = None,
+        *,
+        sound_only: bool = False,
     ) -> Choice | None:
         """Return the best usable backend server of a service, or None.
 
         `may_withdraw` is whether the request may run again after it was sent.
         `may_continue` returns whether a server fits a stream that has begun, and
         is None for a request that has not. Few servers may fit a stream, so one
-        that is avoided otherwise is better than none.
+        that is avoided otherwise is better than none, unless `sound_only`.
         """
         servers = {
             key: server
@@ -126,6 +128,9 @@
             if key not in tried and may_continue(server)
         }
         reachable = {key: s for key, s in fitting.items() if key in servers}
+        if sound_only:
+            sound = {k: s for k, s in reachable.items() if k not in self.out_of_use}
+            return self._choose_among(sound, *request)
         out_of_use = {k: s for k, s in reachable.items() if k in self.out_of_use}
         for group in (reachable, out_of_use, fitting):
             choice = self._choose_among(group, *request)
--- a/src/cassiaford/gateway/_server_chooser.py
+++ b/src/cassiaford/gateway/_server_chooser.py
@@ -67,7 +67,7 @@
             waiting.remove(job.metadata.attempt_id)
             job.waited_s += self.loop.time() - started_at
 
-    def _best_choice(self, now):
+    def _best_choice(self, now, sound_only=False):
         job = self.job
         return self.context.placer.choose(
             job.service,
@@ -78,6 +78,7 @@
             now,
             self._may_withdraw(now),
             self._continues_at() if job.continues else None,
+            sound_only=sound_only,
         )
 
     def _continues_at(self):
@@ -105,6 +106,9 @@
         return now + choice.first_token_s > self.job.deadline
 
     def has_another_server(self, now: float) -> bool:
-        """Return whether another server could take the request in time."""
-        choice = self._best_choice(now)
+        """Return whether another server could take the request in time.
+
+        A stream that may go on by itself is not cut for one that may be down.
+        """
+        choice = self._best_choice(now, sound_only=True)
         return choice is not None and not self._misses_deadline(choice, now)
