--- a/src/cassiaford/gateway/_server_chooser.py
+++ b/src/cassiaford/gateway/_server_chooser.py
@@ -67,7 +67,7 @@
             waiting.remove(job.metadata.attempt_id)
             job.waited_s += self.loop.time() - started_at
 
-    def _best_choice(self, now):
+    def _best_choice(self, now, sound_only=False):
         job = self.job
         return self.context.placer.choose(
             job.service,
@@ -77,7 +77,18 @@
             job.route,
             now,
             self._may_withdraw(now),
-            job.may_continue_at if job.continues else None,
+            self._continues_at() if job.continues else None,
+            sound_only=sound_only,
+        )
+
+    def _continues_at(self):
+        """Return the test whether a server may continue the stream."""
+        job, context = self.job, self.context
+        if context.origins.is_ambiguous(job.first_attempt_id):
+            # The server that began it turned out to be another start.
+            job.origin = None
+        return lambda server: (
+            job.may_continue_at(server) and not context.view.is_doubtful(server)
         )
 
     def _may_withdraw(self, now):
@@ -95,6 +106,9 @@
         return now + choice.first_token_s > self.job.deadline
 
     def has_another_server(self, now: float) -> bool:
-        """Return whether another server could take the request in time."""
-        choice = self._best_choice(now)
+        """Return whether another server could take the request in time.
+
+        A stream that may go on by itself is not cut for one that may be down.
+        """
+        choice = self._best_choice(now, sound_only=True)
         return choice is not None and not self._misses_deadline(choice, now)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -142,6 +142,28 @@
         self.assertTrue(caller.finished)
         self.assertEqual(caller.software_versions, {chosen.software_version})
 
+    async def test_an_idle_answer_is_not_cut_for_a_server_that_is_down(self):
+        chosen = await self.first_choice()
+        chosen.behaviours = [Behaviour.HOLD_STREAM]
+        mate = self.mate_of(chosen)
+        mate.crash()
+        self.back_off(mate)
+        caller = ResumingCaller(self)
+        with (
+            mock.patch.object(_exchange, "STREAM_IDLE_TIMEOUT_S", 0.01),
+            mock.patch.object(
+                ServerChooser,
+                "has_another_server",
+                autospec=True,
+                side_effect=ServerChooser.has_another_server,
+            ) as asked,
+        ):
+            attempt = asyncio.create_task(caller.attempt(self.gateway))
+            await self.wait_until(lambda: asked.call_count >= 3 or attempt.done())
+            chosen.released.set()
+            await attempt
+        self.assertTrue(caller.finished)
+
     async def test_a_request_without_an_event_is_sent_to_any_version(self):
         chosen = await self.first_choice()
         chosen.behaviours = [Behaviour.CRASH]
@@ -284,12 +306,52 @@
         # The instance has watched for longer than any request lasts.
         gateway.view.recent_software.started_at -= 100.0
         gateway.view.recent_targets.started_at -= 100.0
+        gateway.sync.followed_since -= 100.0
         for fields in (headers, {"Last_Event_Id": "1"}):
             response = await self.call_engine(gateway, **fields)
             self.assertEqual((response.status, response.complete), (200, True))
             self.assertNotIn(b"id: 1\n", response.body)
             self.assertEqual(worker.calls[-1].headers["last-event-id"], "1")
 
+    async def start_long_ago(self):
+        """Return a gateway that has watched for longer than any request lasts."""
+        await self.store.put("op/config", configuration())
+        await self.start_worker("i-0", "engine")
+        gateway = await self.start_gateway()
+        gateway.view.recent_software.started_at -= 100.0
+        gateway.view.recent_targets.started_at -= 100.0
+        gateway.sync.followed_since -= 100.0
+        return gateway
+
+    async def resume_unknown(self, gateway):
+        # A resume that goes on is known under its name from then on.
+        headers = {"Last_Event_Id": "1", "Resumes": f"unseen-{next(self.attempts)}"}
+        return await self.call_engine(gateway, **headers)
+
+    async def test_a_lower_timeout_makes_no_older_stream_certain(self):
+        gateway = await self.start_long_ago()
+        other = await self.start_worker("j-0", "engine", software_version="v2")
+        await self.wait_until(lambda: self._has_all_workers(gateway))
+        await self.store.remove("servers/j-0")
+        other.state = "gone"
+        await self.wait_until(lambda: self._has_all_workers(gateway))
+        ended = gateway.view.recent_software.ended
+        ended["engine", "v2"] -= 15.0
+        self.assertEqual((await self.resume_unknown(gateway)).status, 503)
+        lowered = [{**r, "TimeoutMs": 2000} for r in configuration()["Routes"]]
+        await self.store.put("op/config", configuration(2, Routes=lowered))
+        await self.wait_until(lambda: gateway.view.configuration.version == 2)
+        self.assertEqual((await self.resume_unknown(gateway)).status, 503)
+
+    async def test_a_section_that_was_read_anew_may_have_missed_a_version(self):
+        gateway = await self.start_long_ago()
+        self.assertEqual((await self.resume_unknown(gateway)).status, 200)
+        sync = gateway.sync
+        (section,) = (s for s in gateway.mirror.sections if s.prefix == "servers/")
+        sync.confirmed_at["servers/"] -= 2 * section.max_lag_s
+        await sync._load(section)
+        self.assertEqual((await self.resume_unknown(gateway)).status, 503)
+
 
 class ReplayTest(DispatcherCase):
     """The product's own path, which replays a lost stream at another server."""
