--- a/src/cassiaford/fleet/_suspects.py
+++ b/src/cassiaford/fleet/_suspects.py
@@ -182,7 +182,7 @@
 
     def _send_known_crashes(self, instance):
         with self._lock:
-            reports = self.tracker.crash_reports()
+            reports = self.tracker.crash_reports(self.clock())
             refused = [*map(_refused, self.tracker.parts.groups)]
         # An empty clearance is the reply if there are no reports.
         messages = [part for report in reports for part in _split(report)] + refused
--- a/src/cassiaford/gateway/_crashes.py
+++ b/src/cassiaford/gateway/_crashes.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Callable
 
 from cassiaford.gateway._event_log import EventLog
@@ -249,11 +250,15 @@
         counts = {f: self.tracker.crash_count(f, now) for f in self._suspects()}
         repeated = [f for f, count in counts.items() if count >= CRASHES_TO_STORE]
         repeated.sort(key=counts.get)
-        return [
-            CrashReport(crash, (fingerprint,))
+        reports = [
+            CrashReport(crash, (fingerprint,), age_s=now - crashed_at)
             for fingerprint in repeated[-MAX_REPORTED // CRASHES_TO_REFUSE :]
-            for crash in self.tracker.suspicions[fingerprint].crashes
+            for crash, crashed_at in self.tracker.suspicions[
+                fingerprint
+            ].crashes.items()
         ]
+        # Without the latest crashes, earlier ones may have expired at the receiver.
+        return sorted(reports, key=lambda report: report.age_s)
 
     def _suspects(self):
         return tuple(self.tracker.suspicions)
@@ -265,12 +270,13 @@
         name, _, writer = change.key.removeprefix(self.prefix).partition("/")
         group = _group(name)
         if change.item is not None:
-            keys = decode_crashes(change.item.value)
+            ages_s = decode_crashes(change.item.value)
             if group:
                 self.tracker.parts.refuse_reported(group)
                 return
-            for key in keys:
-                self.tracker.record_crash(server_crash(key), (name,), self._now())
+            now = self._now()
+            for key, age_s in sorted(ages_s.items(), key=lambda item: item[1]):
+                self.tracker.record_crash(server_crash(key), (name,), now, age_s)
         elif writer == self.instance:
             # A record that has lapsed or was lost clears nothing.
             if group:
@@ -318,16 +324,24 @@
 
     def _encode(self, name):
         suspicion = self.tracker.suspicions.get(name)
-        crashes = suspicion.crashes if suspicion is not None else ()
-        return json.dumps(sorted(int(c.incarnation) for c in crashes)).encode()
+        crashes = suspicion.crashes if suspicion is not None else {}
+        now = self._now()
+        ages_s = [(int(c.incarnation), round(now - at, 3)) for c, at in crashes.items()]
+        return json.dumps(sorted(ages_s)).encode()
+
 
+def decode_crashes(value: bytes) -> dict[int, float]:
+    """Return the keys of the crashed servers, and the seconds since their crashes.
 
-def decode_crashes(value: bytes) -> list[int]:
-    """Return the keys of the crashed servers; raise `ValueError`."""
-    keys = json.loads(value)
-    if not isinstance(keys, list) or not all(isinstance(key, int) for key in keys):
-        raise ValueError("the record of a suspect is not a list of numbers")
-    return keys
+    Raises `ValueError` if the record is malformed.
+    """
+    try:
+        ages_s = {int(key): float(age_s) for key, age_s in json.loads(value)}
+    except (TypeError, OverflowError) as error:
+        raise ValueError(f"invalid record of a suspect: {error!r}") from error
+    if not all(0.0 <= age_s < math.inf for age_s in ages_s.values()):
+        raise ValueError("a crash in the record of a suspect has no age")
+    return ages_s
 
 
 def _is_answering(job, now):
--- a/src/cassiaford/suspects/_tracker.py
+++ b/src/cassiaford/suspects/_tracker.py
@@ -10,7 +10,7 @@
 """
 
 import collections
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from cassiaford.suspects._crash import Crash
 from cassiaford.suspects._parts import PartTracker
@@ -84,10 +84,14 @@
 
 @dataclass
 class Suspicion:
-    """The crashes at which a fingerprint was present."""
+    """The crashes at which a fingerprint was present, and their times."""
 
-    crashes: set[Crash]
-    last_at: float
+    crashes: dict[Crash, float] = field(default_factory=dict)
+
+    @property
+    def last_at(self) -> float:
+        """The time of the latest crash."""
+        return max(self.crashes.values())
 
 
 class SuspectTracker:
@@ -123,7 +127,9 @@
         """Apply a peer's message."""
         match message:
             case CrashReport():
-                self.record_crash(message.crash, message.fingerprints, now)
+                self.record_crash(
+                    message.crash, message.fingerprints, now, message.age_s
+                )
                 crashed_at = now - message.age_s
                 self.parts.mark_answered(message.answered)
                 self.parts.record_crash(message.crash, message.parts, crashed_at)
@@ -135,12 +141,21 @@
                 self.parts.refuse_reported(frozenset(message.parts))
 
     def record_crash(
-        self, crash: Crash, fingerprints: tuple[str, ...], now: float
+        self,
+        crash: Crash,
+        fingerprints: tuple[str, ...],
+        now: float,
+        age_s: float = 0.0,
     ) -> None:
-        """Record the requests that were running on a server when it crashed."""
+        """Record the requests that were running on a server when it crashed.
+
+        `age_s` is the time since then.
+        """
         for fingerprint in fingerprints:
+            # This removes the suspicion if it has expired.
+            self.crash_count(fingerprint, now)
             if (fingerprint, crash) not in self._invalidated:
-                self._add_crash(fingerprint, crash, now)
+                self._add_crash(fingerprint, crash, now, age_s)
 
     def record_completion(
         self, fingerprint: str, now: float
@@ -159,13 +174,11 @@
 
     def clear(self, cleared: ClearedFingerprint) -> None:
         """Invalidate crashes of a fingerprint, also if they are reported later."""
-        for crash in cleared.crashes:
-            self._invalidated[cleared.fingerprint, crash] = True
-        while len(self._invalidated) > MAX_INVALIDATED:
-            self._invalidated.popitem(last=False)
+        self._invalidate(cleared.fingerprint, cleared.crashes)
         suspicion = self.suspicions.get(cleared.fingerprint)
         if suspicion is not None:
-            suspicion.crashes.difference_update(cleared.crashes)
+            for crash in cleared.crashes:
+                suspicion.crashes.pop(crash, None)
             if not suspicion.crashes:
                 del self.suspicions[cleared.fingerprint]
 
@@ -180,13 +193,22 @@
             return False
         return count >= self.crashes_if_ambiguous or not self._is_ambiguous(fingerprint)
 
-    def crash_reports(self) -> tuple[CrashReport, ...]:
-        """Return every suspicion, for a peer that has just started."""
+    def crash_reports(self, now: float) -> tuple[CrashReport, ...]:
+        """Return every suspicion, for a peer that has just started.
+
+        The latest crashes come first, since without them earlier ones may have
+        expired.
+        """
         by_crash = collections.defaultdict(list)
+        crashed_at = {}
         for fingerprint, suspicion in self.suspicions.items():
-            for crash in suspicion.crashes:
+            for crash, at in suspicion.crashes.items():
                 by_crash[crash].append(fingerprint)
-        return tuple(CrashReport(crash, tuple(f)) for crash, f in by_crash.items())
+                crashed_at[crash] = at
+        return tuple(
+            CrashReport(crash, tuple(by_crash[crash]), age_s=now - crashed_at[crash])
+            for crash in sorted(crashed_at, key=crashed_at.get, reverse=True)
+        )
 
     def crash_count(self, fingerprint: str, now: float) -> int:
         """Return the number of crashes at which a request was present."""
@@ -195,25 +217,33 @@
             return 0
         if now >= suspicion.last_at + SUSPICION_TTL_S:
             del self.suspicions[fingerprint]
+            # A late report of a peer must not bring it back.
+            self._invalidate(fingerprint, suspicion.crashes)
             return 0
         return len(suspicion.crashes)
 
     def _is_ambiguous(self, fingerprint):
         """Return whether another request was present at all of its crashes."""
-        crashes = self.suspicions[fingerprint].crashes
+        crashes = self.suspicions[fingerprint].crashes.keys()
         return any(
-            crashes <= suspicion.crashes
+            crashes <= suspicion.crashes.keys()
             for other, suspicion in self.suspicions.items()
             if other != fingerprint
         )
 
-    def _add_crash(self, fingerprint, crash, now):
-        # This removes the suspicion if it has expired.
-        self.crash_count(fingerprint, now)
-        suspicion = self.suspicions.setdefault(fingerprint, Suspicion(set(), now))
-        if crash not in suspicion.crashes:
-            suspicion.crashes.add(crash)
-            suspicion.last_at = now
+    def _invalidate(self, fingerprint, crashes):
+        for crash in crashes:
+            self._invalidated[fingerprint, crash] = True
+        while len(self._invalidated) > MAX_INVALIDATED:
+            self._invalidated.popitem(last=False)
+
+    def _add_crash(self, fingerprint, crash, now, age_s):
+        if fingerprint not in self.suspicions and age_s >= SUSPICION_TTL_S:
+            return
+        suspicion = self.suspicions.setdefault(fingerprint, Suspicion())
+        # Reports age on their way, so the earliest time is the most exact.
+        crashed_at = suspicion.crashes.get(crash, now - age_s)
+        suspicion.crashes[crash] = min(crashed_at, now - age_s)
         self.suspicions.move_to_end(fingerprint)
         while len(self.suspicions) > MAX_SUSPECTS:
             self.suspicions.popitem(last=False)
