--- a/src/cassiaford/fleet/_suspects.py
+++ b/src/cassiaford/fleet/_suspects.py
@@ -139,7 +139,7 @@
             self._send_to_peers(body)
             with self._lock:
                 self._repeats.extend(
-                    (now + delay, aged(message, delay)) for delay in REPEAT_DELAYS_S
+                    (now + delay, now, message) for delay in REPEAT_DELAYS_S
                 )
 
     def _send_to_peers(self, body):
@@ -160,7 +160,9 @@
 
     def _due(self, now):
         with self._lock:
-            due = [message for at, message in self._repeats if at <= now]
+            due = [
+                aged(m, now - made_at) for at, made_at, m in self._repeats if at <= now
+            ]
             self._repeats = [item for item in self._repeats if item[0] > now]
         return [encode_suspect_message(message) for message in due]
 
