--- a/src/cassiaford/gateway/_crashes.py
+++ b/src/cassiaford/gateway/_crashes.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import math
+import random
 from collections.abc import Callable
 
 from cassiaford.gateway._event_log import EventLog
@@ -48,6 +49,10 @@
 MAX_REPORTED_GROUPS = 8
 MAX_WRITES = 16
 RETRY_INTERVAL_S = 1.0
+# What no instance has stored for this time is stored by others, each after a delay
+# of its own, so that most of them find the record of the first.
+UNSTORED_FOR_S = 0.5
+MAX_STORE_DELAY_S = 1.5
 # An answer that has gone on for this long is not what crashed its server.
 MIN_ANSWER_S = 0.5
 # Keeps the names of groups within the length of a key; larger ones are those that
@@ -72,6 +77,7 @@
         prefix: str,
         store: SharedStore,
         sync: MirrorSync,
+        rng: random.Random,
         log: EventLog,
     ):
         self.instance = instance
@@ -88,6 +94,9 @@
         self._unreported: list[Suspicions] = []
         self._unwritten: dict[str, None] = {}
         self._has_unwritten = asyncio.Event()
+        self._writers: dict[str, set[str]] = {}
+        self._missing_since: dict[str, float] = {}
+        self._store_delay_s = UNSTORED_FOR_S + rng.random() * MAX_STORE_DELAY_S
         self._now = asyncio.get_running_loop().time
 
     @property
@@ -158,9 +167,13 @@
             self._unreported.append(cleared)
 
     def update(self) -> None:
-        """Remove evidence that is too old, and log which requests are now refused."""
+        """Remove evidence that is too old, and log which requests are now refused.
+
+        What has been in nobody's record for a while is stored.
+        """
         self.evidence.expire(self._now())
         self._update_refused()
+        self._store_missing()
 
     def _record_crash(self, server, requests):
         now = self._now()
@@ -203,6 +216,31 @@
         if self.tracker.crash_count(fingerprint, self._now()) >= CRASHES_TO_STORE:
             self._store(fingerprint)
 
+    def _store_missing(self):
+        """Have what no instance has stored written, when its time has come.
+
+        It may have been found only from reports of peers, or its writer has ended.
+        """
+        now = self._now()
+        missing = self._names_to_store(now) - self._writers.keys()
+        self._missing_since = {
+            name: self._missing_since.get(name, now)
+            for name in missing - self._unwritten.keys()
+        }
+        if self.sync.failing or not self._missing_since:
+            return
+        if now - min(self._missing_since.values()) >= self._store_delay_s:
+            # All at once, so that other instances find all of it stored.
+            for name in self._missing_since:
+                self._store(name)
+            self._missing_since.clear()
+
+    def _names_to_store(self, now):
+        counts = ((f, self.tracker.crash_count(f, now)) for f in self._suspects())
+        names = {fingerprint for fingerprint, n in counts if n >= CRASHES_TO_STORE}
+        groups = (g for g in self.refused_groups if len(g) <= MAX_STORED_PARTS)
+        return names | {PARTS_NAME + _format(sorted(group)) for group in groups}
+
     def _store(self, name):
         self._unwritten[name] = None
         self._has_unwritten.set()
@@ -269,6 +307,7 @@
         """Apply a change of the record; raise `ValueError` if it is malformed."""
         name, _, writer = change.key.removeprefix(self.prefix).partition("/")
         group = _group(name)
+        self._record_writer(name, writer, change.item is not None)
         if change.item is not None:
             ages_s = decode_crashes(change.item.value)
             if group:
@@ -284,6 +323,15 @@
             else:
                 self._store_if_repeated(name)
 
+    def _record_writer(self, name, writer, present):
+        writers = self._writers.setdefault(name, set())
+        if present:
+            writers.add(writer)
+        else:
+            writers.discard(writer)
+        if not writers:
+            del self._writers[name]
+
     async def run(self) -> None:
         """Write what is refused or present at several crashes until cancelled."""
         while True:
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -162,7 +162,12 @@
 
     def _create_peers(self):
         self.crashes = CrashMonitor(
-            self.state.name, SUSPECTS_PREFIX, self.adapter.store, self.sync, self.log
+            self.state.name,
+            SUSPECTS_PREFIX,
+            self.adapter.store,
+            self.sync,
+            self.rng,
+            self.log,
         )
         self.view.on_server_ended = self.crashes.record_server_end
         self.peers = PeerReports(
