--- a/src/cassiaford/gateway/_orders.py
+++ b/src/cassiaford/gateway/_orders.py
@@ -148,9 +148,9 @@
     def _may_acquire_lease(self):
         now = boot_time()
         if self.store.era != self._era:
-            # A holder of the era before may not have noticed that it ended.
-            if self._era:
-                self._acquire_from = now + LEASE_S
+            # A holder of the era before may not have noticed that it ended. An
+            # instance that has just started cannot know when that was.
+            self._acquire_from = now + LEASE_S
             self._era = self.store.era
         return not self.key_exists and not self.stopping and now >= self._acquire_from
 
@@ -161,26 +161,39 @@
         requested_at = boot_time()
         try:
             lease = await self.store.grant_lease(LEASE_S)
-            result = await self.store.transact(
-                (Condition(self.key, 0),),
-                (Write(self.key, self.instance.encode(), lease),),
-            )
+            result = await self._write_key(lease)
         except StoreError as error:
             self.log.write(Event.ORDERS_SUSPENDED, cause=str(error))
             await asyncio.sleep(RENEWAL_INTERVAL_S)
             return
-        if not isinstance(result, Committed):
-            self.key_exists = True
+        if result is None:
             return
         self.key_exists = True
+        if not isinstance(result, Committed):
+            return
         self.lease = lease
-        self.lease_era = self.store.era
+        self.lease_era = self._era
         self.key_revision = result.revision
         self.fencing = (self.lease_era << ERA_SHIFT) + result.revision
         self.valid_until = requested_at + LEASE_S - LEASE_MARGIN_S
         self.rollout.turns.clear()
         self.log.write(Event.ORDERS_RESUMED, fencing=self.fencing)
 
+    async def _write_key(self, lease):
+        """Write the key; return None if the store's era has risen meanwhile."""
+        if self.store.era != self._era:
+            return None
+        result = await self.store.transact(
+            (Condition(self.key, 0),),
+            (Write(self.key, self.instance.encode(), lease),),
+        )
+        if self.store.era == self._era:
+            return result
+        if isinstance(result, Committed):
+            # The lease may be another instance's by now, and keep the key for long.
+            await self.store.remove(self.key, result.revision)
+        return None
+
     async def _give_orders(self):
         """Give orders while the lease lasts, and renew it concurrently."""
         renewals = asyncio.create_task(self._renew())
