--- a/src/cassiaford/platform/_store.py
+++ b/src/cassiaford/platform/_store.py
@@ -29,6 +29,9 @@
 # The store responds within milliseconds; a call that takes this long is lost.
 TIMEOUT_S = 1.0
 _JSON_HEADERS = [("Content-Type", "application/json")]
+ERA_HEADER = "store-era"
+# Peers send eras to each other as numbers of 64 bits.
+MAX_ERA_DIGITS = 18
 # Statuses by which the store states that a call had no effect.
 _REFUSED_STATUSES = frozenset({400, 403, 429, 503})
 
@@ -142,16 +145,33 @@
         except CallFailedError as error:
             kind = StoreError if error.sent else StoreRefusedError
             raise kind(str(error)) from error
-        # An answer that was delayed may be of an earlier era.
-        self.era = max(self.era, _era(reply))
+        self._follow_era(reply)
         return reply
 
+    def _follow_era(self, reply):
+        """Enter the era of a response; raise `StoreError` if it has none.
+
+        What a response of an earlier era says does not hold any more.
+        """
+        era = _era(reply)
+        if era is None:
+            if self.era:
+                raise StoreError("the store's response has no era")
+            return
+        if era < self.era:
+            raise StoreError(f"the store's era went back from {self.era} to {era}")
+        self.era = era
+
 
 def _era(reply):
-    for name, value in reply.headers:
-        if name.lower() == "store-era" and value.isdigit():
-            return int(value)
-    return 0
+    """Return the era in a response's headers, None if the store sends none."""
+    values = [value for name, value in reply.headers if name.lower() == ERA_HEADER]
+    if not values:
+        return None
+    value = values[0]
+    if not (value.isascii() and value.isdigit() and len(value) <= MAX_ERA_DIGITS):
+        raise StoreError(f"the store's era is not a number: {value[:MAX_ERA_DIGITS]!r}")
+    return int(value)
 
 
 def _check(reply):
