--- a/src/cassiaford/gateway/_registration.py
+++ b/src/cassiaford/gateway/_registration.py
@@ -17,6 +17,10 @@
 # instances detect the loss sooner. The lease survives two lost renewals.
 LEASE_S = 6.0
 RENEWAL_INTERVAL_S = 2.0
+# Interval at which an instance looks whether it has to register again, and the
+# longest time that it then waits, so that not all instances write at once.
+CHECK_INTERVAL_S = 0.1
+MAX_REGISTRATION_DELAY_S = 0.8
 # Identifies these calls in the tracking of the store's reachability.
 STORE_CLIENT = "registration"
 
@@ -69,12 +73,18 @@
         self.registered = False
         self.withdrawn = False
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the entry was written in the store's present era."""
+        return self.registered and self.lease_era == self.store.era
+
     async def run(self) -> None:
         """Register the instance, and renew its lease until it withdraws."""
         while not self.withdrawn:
             started_at = self.sync.clock()
+            failed = False
             try:
-                if self.registered and self.lease_era == self.store.era:
+                if self.is_current:
                     await self.store.renew_lease(self.lease)
                 else:
                     await self._register()
@@ -85,7 +95,8 @@
             except StoreError as error:
                 # An entry that has lapsed is written again in the next round.
                 self.sync.record_failure(STORE_CLIENT, error, started_at)
-            await asyncio.sleep(RENEWAL_INTERVAL_S * (0.8 + 0.4 * self.rng.random()))
+                failed = True
+            await self._wait_for_next_round(failed)
 
     def on_entry_removed(self) -> None:
         """Register again, unless the instance itself has removed its entry."""
@@ -105,6 +116,20 @@
             # The lease expires by itself.
             self.sync.record_failure(STORE_CLIENT, error, started_at)
 
+    async def _wait_for_next_round(self, failed):
+        """Wait until the lease has to be renewed or the entry is found missing."""
+        wait_s = RENEWAL_INTERVAL_S * (0.8 + 0.4 * self.rng.random())
+        end = self.sync.clock() + wait_s
+        era = self.store.era
+        # What has just failed is not tried again sooner.
+        may_register = self.is_current or not failed
+        while (left_s := end - self.sync.clock()) > 0.0:
+            if self.store.era != era or (may_register and not self.is_current):
+                delay_s = self.rng.random() * MAX_REGISTRATION_DELAY_S
+                await asyncio.sleep(min(delay_s, left_s))
+                return
+            await asyncio.sleep(min(CHECK_INTERVAL_S, left_s))
+
     async def _register(self):
         self.lease = await self.store.grant_lease(LEASE_S)
         self.lease_era = self.store.era
