--- a/src/cassiaford/gateway/_crashes.py
+++ b/src/cassiaford/gateway/_crashes.py
@@ -307,9 +307,10 @@
         """Apply a change of the record; raise `ValueError` if it is malformed."""
         name, _, writer = change.key.removeprefix(self.prefix).partition("/")
         group = _group(name)
-        self._record_writer(name, writer, change.item is not None)
-        if change.item is not None:
-            ages_s = decode_crashes(change.item.value)
+        item = change.item
+        ages_s = {} if item is None else decode_crashes(item.value)
+        self._record_writer(name, writer, item is not None)
+        if item is not None:
             if group:
                 self.tracker.parts.refuse_reported(group)
                 return
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -98,6 +98,19 @@
 
         self.play(scenario)
 
+    def test_a_record_that_cannot_be_read_does_not_count_as_stored(self):
+        async def scenario():
+            monitor = self.start("entry-1")
+            for name in self.names():
+                key = f"{PREFIX}{name}/entry-2"
+                with self.assertRaises(ValueError):
+                    monitor.apply_change(Change(key, 1, Item(key, b"[7]", 1)))
+            await self.learn(monitor)
+            await asyncio.sleep(STORED_WITHIN_S)
+            self.assertEqual(self.stored(), self.names())
+
+        self.play(scenario)
+
     def test_few_of_many_instances_store_what_all_learned_from_peers(self):
         async def scenario():
             monitors = [self.start(f"entry-{n}") for n in range(INSTANCES)]
