--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -2,8 +2,8 @@
 
 import math
 import random
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Set
+from dataclasses import dataclass, replace
 
 from cassiaford.gateway._configuration import Customer, EngineSpec, Route
 from cassiaford.gateway._messages import BackendServer, RequestMetadata
@@ -64,6 +64,24 @@
         return self.placement.first_token_s if self.placement else 0.0
 
 
+@dataclass(frozen=True)
+class ServerQuery:
+    """What one attempt of a request needs of its server.
+
+    Servers in `tried` are left out. `may_withdraw` is whether the request may run
+    again after it was sent. `may_continue` returns whether a server fits a stream
+    that has begun, and is None for a request that has not.
+    """
+
+    service: str
+    metadata: RequestMetadata
+    customer: Customer | None
+    route: Route
+    tried: Set[int] = frozenset()
+    may_withdraw: bool = False
+    may_continue: Callable[[BackendServer], bool] | None = None
+
+
 class Placer:
     """Chooses backend servers, and tracks what was sent to them.
 
@@ -95,63 +113,44 @@
         self.on_placement: Callable[[float], None] = lambda prefill_s: None
 
     def choose(
-        self,
-        service: str,
-        metadata: RequestMetadata,
-        customer: Customer | None,
-        tried: set[int],
-        route: Route,
-        now: float,
-        may_withdraw: bool = False,
-        may_continue: Callable[[BackendServer], bool] | None = None,
-        *,
-        sound_only: bool = False,
+        self, query: ServerQuery, now: float, *, sound_only: bool = False
     ) -> Choice | None:
         """Return the best usable backend server of a service, or None.
 
-        `may_withdraw` is whether the request may run again after it was sent.
-        `may_continue` returns whether a server fits a stream that has begun, and
-        is None for a request that has not. Few servers may fit a stream, so one
-        that is avoided otherwise is better than none, unless `sound_only`.
+        Few servers may fit a stream that has begun, so one that is avoided
+        otherwise is better than none, unless `sound_only`.
         """
-        servers = {
+        untried = {
             key: server
-            for key, server in self._reachable(service, now).items()
-            if key not in tried
+            for key, server in self.view.servers.get(query.service, {}).items()
+            if key not in query.tried
         }
-        request = (metadata, customer, route, now, may_withdraw)
-        if may_continue is None:
-            return self._choose_among(servers, *request)
-        fitting = {
+        reachable = {
             key: server
-            for key, server in self.view.servers.get(service, {}).items()
-            if key not in tried and may_continue(server)
+            for key, server in untried.items()
+            if not self.health.is_backing_off(key, now)
         }
-        reachable = {key: s for key, s in fitting.items() if key in servers}
+        if query.may_continue is None:
+            return self._choose_among(reachable, query, now)
+        return self._choose_fitting(untried, reachable, query, now, sound_only)
+
+    def _choose_fitting(self, untried, reachable, query, now, sound_only):
+        """Return a server that fits a stream that has begun, or None."""
+        fitting = {k: s for k, s in untried.items() if query.may_continue(s)}
+        fitting_now = {k: s for k, s in reachable.items() if k in fitting}
+        out_of_use = {k: s for k, s in fitting_now.items() if k in self.out_of_use}
         if sound_only:
-            sound = {k: s for k, s in reachable.items() if k not in self.out_of_use}
-            return self._choose_among(sound, *request)
-        out_of_use = {k: s for k, s in reachable.items() if k in self.out_of_use}
-        for group in (reachable, out_of_use, fitting):
-            choice = self._choose_among(group, *request)
+            sound = {k: s for k, s in fitting_now.items() if k not in out_of_use}
+            return self._choose_among(sound, query, now)
+        for group in (fitting_now, out_of_use, fitting):
+            choice = self._choose_among(group, query, now)
             if choice is not None:
                 return choice
-        return self._choose_among(fitting, *request, needs_room=False)
+        return self._choose_among(fitting, query, now, needs_room=False)
 
-    def _choose_among(
-        self,
-        servers,
-        metadata,
-        customer,
-        route,
-        now,
-        may_withdraw,
-        needs_room=True,
-    ):
-        if metadata.is_generation:
-            return self._choose_engine(
-                servers, metadata, customer, route, now, may_withdraw, needs_room
-            )
+    def _choose_among(self, servers, query, now, needs_room=True):
+        if query.metadata.is_generation:
+            return self._choose_engine(servers, query, now, needs_room)
         plain = [
             PlainServer(
                 key,
@@ -274,41 +273,49 @@
             k: s for k, s in servers.items() if not self.health.is_backing_off(k, now)
         }
 
-    def _choose_engine(
-        self, servers, metadata, customer, route, now, may_withdraw, needs_room
-    ):
-        margin_s = _start_margin_s(may_withdraw)
-        spec = _engine_spec(self.view.configuration, servers)
+    def _choose_engine(self, servers, query, now, needs_room):
+        metadata = query.metadata
+        margin_s = _start_margin_s(query.may_withdraw)
         usable = {
             key: server
             for key, server in servers.items()
             if now <= self._last_start(server, metadata, now) - margin_s
         }
         in_use = {key: s for key, s in usable.items() if key not in self.out_of_use}
+        spec = _engine_spec(self.view.configuration, servers)
+        if not needs_room:
+            spec = replace(spec, cache_tokens=math.inf)
         views = [
-            EngineView(
-                key,
-                server.server_id,
-                server.slots,
-                spec.cache_tokens if needs_room else math.inf,
-                self.health.cost_s(key, now)
-                + self._weights_cost(server, metadata, route, now)
-                + self._distance_cost(server),
-                self._new_prefix_cost(server, metadata, now),
-                server.versions.get(metadata.model, 0),
-                spec.link_bytes_per_s / spec.token_bytes if spec.token_bytes else 0.0,
-                self._last_start(server, metadata, now) - margin_s,
-            )
+            self._engine_view(key, server, spec, query, now)
             for key, server in (in_use or usable).items()
         ]
-        request = self._generation(metadata, customer, route.target_latency_s)
+        request = self._generation(
+            metadata, query.customer, query.route.target_latency_s
+        )
         versions = {
             key: s.versions.get(metadata.model, 0) for key, s in servers.items()
         }
         placement = self.engines.place(request, views, now, self.rng, versions)
         if placement is None:
             return None
-        return self._engine_choice(placement, servers, may_withdraw)
+        return self._engine_choice(placement, servers, query.may_withdraw)
+
+    def _engine_view(self, key, server, spec, query, now):
+        metadata = query.metadata
+        last_start = self._last_start(server, metadata, now)
+        return EngineView(
+            key,
+            server.server_id,
+            server.slots,
+            spec.cache_tokens,
+            self.health.cost_s(key, now)
+            + self._weights_cost(server, metadata, query.route, now)
+            + self._distance_cost(server),
+            self._new_prefix_cost(server, metadata, now),
+            server.versions.get(metadata.model, 0),
+            spec.link_bytes_per_s / spec.token_bytes if spec.token_bytes else 0.0,
+            last_start - _start_margin_s(query.may_withdraw),
+        )
 
     def _engine_choice(self, placement, servers, may_withdraw):
         """Return a choice with the addresses to fetch prefixes from and save to."""
--- a/src/cassiaford/gateway/_server_chooser.py
+++ b/src/cassiaford/gateway/_server_chooser.py
@@ -5,7 +5,7 @@
 from cassiaford.gateway._configuration import RequestKind
 from cassiaford.gateway._exchange_context import ExchangeContext
 from cassiaford.gateway._job import Job
-from cassiaford.gateway._placer import Choice
+from cassiaford.gateway._placer import Choice, ServerQuery
 from cassiaford.gateway.policy import should_wait
 
 # Interval at which a request that waits for engines to catch up is placed anew.
@@ -69,17 +69,16 @@
 
     def _best_choice(self, now, sound_only=False):
         job = self.job
-        return self.context.placer.choose(
-            job.service,
-            job.metadata,
-            job.customer,
-            job.tried_servers,
-            job.route,
-            now,
-            self._may_withdraw(now),
-            self._continues_at() if job.continues else None,
-            sound_only=sound_only,
+        query = ServerQuery(
+            service=job.service,
+            metadata=job.metadata,
+            customer=job.customer,
+            route=job.route,
+            tried=job.tried_servers,
+            may_withdraw=self._may_withdraw(now),
+            may_continue=self._continues_at() if job.continues else None,
         )
+        return self.context.placer.choose(query, now, sound_only=sound_only)
 
     def _continues_at(self):
         """Return the test whether a server may continue the stream."""
