--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -97,7 +97,7 @@
     rates.configure(limits, 0.0)
     own = PeerState("entry-own", 1, "cluj-a", "10.1.1.1:8606", "127.0.0.1:1")
     engines, services = EnginePlacer(), ServicePlacer()
-    crashes = CrashMonitor(own.name, "suspects/", None, None, log)
+    crashes = CrashMonitor(own.name, "suspects/", None, None, random.Random(1), log)
     table = PeerTable()
     reports = PeerReports(own, table, engines, services, rates, crashes, log)
     reports.set_customers(peers.customers)
