--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -51,7 +51,7 @@
         """Process a change of one key."""
 
     @abstractmethod
-    def on_store_lost(self) -> None:
+    def on_store_lost(self, cause: str) -> None:
         """Process the start of an outage in which entries may lapse."""
 
     @abstractmethod
@@ -368,7 +368,7 @@
         if not self.in_outage and not self._has_responded_since(started_at):
             self.in_outage = True
             self.outage_began_at = self.clock()
-            self.mirror.listener.on_store_lost()
+            self.mirror.listener.on_store_lost(f"{client}: {error}")
         began_at = started_at + self.suspended_s()
         self.last_failure_began_at = max(began_at, self.last_failure_began_at)
 
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -73,6 +73,8 @@
         self.recent_targets = RecentValues()
         self.longest_timeout_s = 0.0
         self.refused_at: dict[int, float] = {}
+        self.outage_cause = ""
+        self.outage_began_at = -math.inf
         self.on_version_named: Callable[[], None] = lambda: None
         self.is_reading: Callable[[], bool] = lambda: False
         self.on_versions_changed: Callable[[int], None] = lambda key: None
@@ -91,8 +93,10 @@
         except MalformedError as error:
             self.log.write(Event.REVISION_REJECTED, key=change.key, cause=str(error))
 
-    def on_store_lost(self) -> None:
+    def on_store_lost(self, cause: str) -> None:
         """Keep servers whose entries lapse until the store has recovered."""
+        self.outage_cause = cause
+        self.outage_began_at = self.now()
         self.registry.record_store_loss()
 
     def on_store_recovered(self) -> None:
@@ -330,7 +334,13 @@
             self.log.write(Event.SERVER_LEFT, entry=key)
         else:
             for_s = round(max(0.0, kept_until - now), 3)
-            self.log.write(Event.SERVER_KEPT, entry=key, for_s=for_s)
+            self.log.write(
+                Event.SERVER_KEPT,
+                entry=key,
+                for_s=for_s,
+                outage_cause=self.outage_cause,
+                outage_began_s_ago=round(now - self.outage_began_at, 3),
+            )
 
     def _log_loaded(self, server):
         self.log.write(
