--- a/src/cassiaford/gateway/_http_caller.py
+++ b/src/cassiaford/gateway/_http_caller.py
@@ -13,6 +13,7 @@
 
 # Pages of the store, the longest responses, have about a megabyte.
 MAX_BODY_BYTES = 16_777_216
+_DISCONNECTIONS = frozenset({Failure.RESET_BEFORE_RESPONSE, Failure.TRUNCATED_RESPONSE})
 
 
 @dataclass(frozen=True)
@@ -25,11 +26,16 @@
 
 
 class CallFailedError(Exception):
-    """A call got no response; `sent` is whether it may have been sent."""
+    """A call got no response.
 
-    def __init__(self, detail: str, sent: bool):
+    `sent` is whether it may have been sent, and `disconnected` whether its
+    connection broke while the response was awaited.
+    """
+
+    def __init__(self, detail: str, sent: bool, disconnected: bool = False):
         super().__init__(detail)
         self.sent = sent
+        self.disconnected = disconnected
 
 
 class HttpClient:
@@ -61,7 +67,9 @@
                 reply = Reply(head.status, body, head.headers)
         except ExchangeError as error:
             self._drop(connection)
-            raise CallFailedError(str(error), connection is not None) from error
+            disconnected = error.failure in _DISCONNECTIONS
+            sent = connection is not None
+            raise CallFailedError(str(error), sent, disconnected) from error
         except TimeoutError as error:
             self._drop(connection)
             detail = f"no response within {timeout_s:g} s"
--- a/src/cassiaford/gateway/_mirror.py
+++ b/src/cassiaford/gateway/_mirror.py
@@ -18,6 +18,7 @@
     Item,
     Page,
     SharedStore,
+    StoreDisconnectedError,
     StoreError,
 )
 from cassiaford.logs import Event
@@ -52,7 +53,11 @@
 
     @abstractmethod
     def on_store_lost(self, cause: str) -> None:
-        """Process the start of an outage in which entries may lapse."""
+        """Process the start of what may be an outage, in which entries lapse."""
+
+    @abstractmethod
+    def on_store_present(self) -> None:
+        """Process the response that shows that there was no outage."""
 
     @abstractmethod
     def on_store_recovered(self) -> None:
@@ -190,6 +195,11 @@
     An outage ends with the first response to any client, since a watch may wait
     for long before it has one.
 
+    A store may close connections, such as those of waiting watches, while it
+    responds to all other calls. So a broken connection is an outage only if a
+    call that started later fails too; the watch that follows does not wait, so
+    that this is known at once.
+
     Calls also fail when just their connections are lost or the instance was
     suspended. Then the next watch returns in time, so `stable_since` counts only
     outages that have lasted for the shortest lag. Since a response may come long
@@ -215,11 +225,15 @@
         self.clock = clock
         self.suspended_s: Callable[[], float] = suspended_s
         self.failing: set[str] = set()
+        # The clients whose latest call ended with its connection.
+        self.disconnected: set[str] = set()
         self.confirmed_at: dict[str, float] = {}
         self.followed_since = math.inf
         self.last_response_at: float | None = None
         self.lost_at: float | None = None
         self.in_outage = False
+        # When a call failed, until another one shows whether the store is away.
+        self.suspected_at: float | None = None
         # Of these the first two count suspensions of the machine too.
         self.last_outage_ended_at = float("-inf")
         self.last_failure_began_at = float("-inf")
@@ -252,15 +266,17 @@
         delay_s = FIRST_RETRY_DELAY_S
         loaded_era = None
         lost_again = False
+        may_wait = True
         while True:
             started_at = self.clock()
             try:
                 if loaded_era == self.store.era:
-                    await self._watch(section)
+                    await self._watch(section, may_wait)
                     lost_again = False
                 else:
                     loaded_era = await self._load(section)
                 delay_s = FIRST_RETRY_DELAY_S
+                may_wait = True
             except HistoryLostError:
                 self.record_success(section.prefix)
                 loaded_era = None
@@ -271,6 +287,7 @@
             except StoreError as error:
                 self._log_failed_watch(section, error)
                 self.record_failure(section.prefix, error, started_at)
+                may_wait = not isinstance(error, StoreDisconnectedError)
                 # A call that waited long before it failed is repeated at once.
                 rest_s = delay_s - (self.clock() - started_at)
                 rest_s = max(rest_s, FIRST_RETRY_DELAY_S)
@@ -303,9 +320,9 @@
             self.last_outage_ended_at = self._time()
         self.mirror.era = era
 
-    async def _watch(self, section):
+    async def _watch(self, section, may_wait=True):
         after = self.mirror.revisions[section.prefix]
-        wait_s = WATCH_WAIT_FRACTION * section.max_lag_s
+        wait_s = WATCH_WAIT_FRACTION * section.max_lag_s if may_wait else 0.0
         timeout_s = WATCH_TIMEOUT_FRACTION * section.max_lag_s
         try:
             async with asyncio.timeout(timeout_s):
@@ -343,12 +360,16 @@
             self.last_outage_ended_at = self.last_failure_began_at
         self.last_response_at = self.clock()
         if self.in_outage:
-            self.in_outage = False
             self.mirror.listener.on_store_recovered()
+        elif self.suspected_at is not None:
+            self.mirror.listener.on_store_present()
+        self.in_outage = False
+        self.suspected_at = None
         self.clear_failure(client)
 
     def clear_failure(self, client: str) -> None:
         """Remove the failure of a client that succeeded or makes no more calls."""
+        self.disconnected.discard(client)
         if client not in self.failing:
             return
         self.failing.discard(client)
@@ -361,16 +382,32 @@
 
         If another client got a response since then, only a connection was lost.
         """
+        broke_alone = self._broke_alone(client, error, started_at)
+        if not self.in_outage and not self._has_responded_since(started_at):
+            self._suspect_outage(f"{client}: {error}")
+            self.in_outage = not broke_alone
+        began_at = started_at + self.suspended_s()
+        self.last_failure_began_at = max(began_at, self.last_failure_began_at)
+        if broke_alone:
+            self.disconnected.add(client)
+            return
         if not self.failing:
             self.lost_at = self.clock()
             self.log.write(Event.KEY_VALUE_LOST, caller=client, cause=str(error))
         self.failing.add(client)
-        if not self.in_outage and not self._has_responded_since(started_at):
-            self.in_outage = True
-            self.outage_began_at = self.clock()
-            self.mirror.listener.on_store_lost(f"{client}: {error}")
-        began_at = started_at + self.suspended_s()
-        self.last_failure_began_at = max(began_at, self.last_failure_began_at)
+
+    def _broke_alone(self, client, error, started_at):
+        """Return whether a connection broke, and no call has failed since then."""
+        if self.in_outage or not isinstance(error, StoreDisconnectedError):
+            return False
+        if client in self.disconnected:
+            return False
+        return self.suspected_at is None or started_at <= self.suspected_at
+
+    def _suspect_outage(self, cause):
+        if self.suspected_at is None:
+            self.suspected_at = self.outage_began_at = self.clock()
+            self.mirror.listener.on_store_lost(cause)
 
     def _time(self):
         """Return a time that also runs while the machine is suspended."""
--- a/src/cassiaford/gateway/_store.py
+++ b/src/cassiaford/gateway/_store.py
@@ -8,6 +8,13 @@
     """A call to the shared store failed; a write may have taken effect."""
 
 
+class StoreDisconnectedError(StoreError):
+    """The connection broke before the response.
+
+    The store may have closed it although it responds to other calls.
+    """
+
+
 class StoreRefusedError(StoreError):
     """The store refused the call; nothing took effect."""
 
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -99,6 +99,10 @@
         self.outage_began_at = self.now()
         self.registry.record_store_loss()
 
+    def on_store_present(self) -> None:
+        """Remove servers whose entries are missing, since none has lapsed."""
+        self.registry.record_store_presence()
+
     def on_store_recovered(self) -> None:
         """Wait for the entries that lapsed during an outage."""
         self.registry.record_store_recovery(self.now())
--- a/src/cassiaford/gateway/policy/_registry.py
+++ b/src/cassiaford/gateway/policy/_registry.py
@@ -35,9 +35,13 @@
         self.store_unreachable = False
 
     def record_store_loss(self) -> None:
-        """Record that the store fails, so that entries may lapse."""
+        """Record that the store may be away, so that entries may lapse."""
         self.store_unreachable = True
 
+    def record_store_presence(self) -> None:
+        """Record that the store has not been away, so that no entry lapsed."""
+        self.store_unreachable = False
+
     def record_store_recovery(self, now: float) -> None:
         """Wait for entries that lapsed during an outage to be registered again."""
         self.store_unreachable = False
--- a/src/cassiaford/platform/_store.py
+++ b/src/cassiaford/platform/_store.py
@@ -21,6 +21,7 @@
     Page,
     Reply,
     SharedStore,
+    StoreDisconnectedError,
     StoreError,
     StoreRefusedError,
     Write,
@@ -150,8 +151,7 @@
         except CallFailedError as error:
             # What silenced one connection may have silenced all that were open.
             self.client.close_idle(self.address)
-            kind = StoreError if error.sent else StoreRefusedError
-            raise kind(str(error)) from error
+            raise _store_error(error) from error
         self._follow_era(reply)
         return reply
 
@@ -170,6 +170,13 @@
         self.era = era
 
 
+def _store_error(error):
+    if not error.sent:
+        return StoreRefusedError(str(error))
+    kind = StoreDisconnectedError if error.disconnected else StoreError
+    return kind(str(error))
+
+
 def _era(reply):
     """Return the era in a response's headers, None if the store sends none."""
     values = [value for name, value in reply.headers if name.lower() == ERA_HEADER]
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -85,6 +85,9 @@
     def on_store_lost(self, cause):
         pass
 
+    def on_store_present(self):
+        pass
+
     def on_store_recovered(self):
         pass
 
