--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -348,10 +348,11 @@
         job = self.job
         customer = job.customer
         version = self._expected_version(choice)
+        job.cache_scope = _cache_scope(customer, version)
         return Forwarding(
             server=choice.server,
             customer=customer.name if customer is not None else None,
-            cache_scope=_cache_scope(customer, version),
+            cache_scope=job.cache_scope,
             expected_version=version,
             fetch_from=choice.fetch_from,
             save_to=choice.save_to,
--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -333,6 +333,8 @@
             "status": job.status,
             "verdict": job.verdict.value,
         }
+        if job.cache_scope is not None:
+            fields["cache_scope"] = job.cache_scope
         if job.taken_up:
             fields["resumes"] = job.metadata.resumes or ""
             fields["software_version"] = (
--- a/src/cassiaford/gateway/_job.py
+++ b/src/cassiaford/gateway/_job.py
@@ -21,7 +21,8 @@
     `first_byte_s` the time from receipt to the first byte sent to the caller.
     `resume_after` is the identifier of the caller's last event, and `origin` that of
     the server whose event was the caller's first, None while unknown. `misses_deadline`
-    is set if no server could start the response before the deadline.
+    is set if no server could start the response before the deadline. `cache_scope` is
+    that of the latest attempt; see `Forwarding`.
     """
 
     request: HttpRequest = field(repr=False)
@@ -46,6 +47,7 @@
     longest_pause_s: float = 0.0
     status: int = 0
     misses_deadline: bool = False
+    cache_scope: str | None = None
 
     @cached_property
     def fingerprint(self) -> str:
