--- a/src/cassiaford/gateway/_configuration.py
+++ b/src/cassiaford/gateway/_configuration.py
@@ -4,6 +4,10 @@
 import enum
 import random
 from dataclasses import dataclass, field
+from functools import cached_property
+from urllib.parse import quote
+
+import xxhash
 
 
 class RequestKind(enum.Enum):
@@ -130,6 +134,39 @@
     limits: CallerLimits = CallerLimits()
     prefix_stores: tuple[PrefixStore, ...] = ()
 
+    def cache_scope(self, customer: Customer | None) -> str:
+        """Return the scope in which a customer's requests find cached prefixes.
+
+        An isolated customer has its own. The others share one that changes with
+        who is isolated: what a customer made before it became isolated lies in
+        another scope then, at engines, at prefix stores and after a change back.
+
+        Examples
+        --------
+        >>> council, press = Customer("council", isolated=True), Customer("press")
+        >>> customers = {"council": council, "press": press}
+        >>> configuration = Configuration(2, (), {}, customers)
+        >>> configuration.cache_scope(council)
+        'council'
+        >>> configuration.cache_scope(press)
+        '/9fd1414e1416e68d'
+        """
+        if customer is None:
+            return self._shared_cache_scope
+        current = self.customers.get(customer.name)
+        if current is None or current.isolated:
+            return quote(customer.name, safe="", errors="surrogatepass")
+        return self._shared_cache_scope
+
+    @cached_property
+    def _shared_cache_scope(self):
+        isolated = sorted(c.name for c in self.customers.values() if c.isolated)
+        if not isolated:
+            return ""
+        return "/" + xxhash.xxh3_64_hexdigest(
+            "\n".join(isolated).encode(errors="surrogatepass")
+        )
+
 
 class RouteTable:
     """Finds the route with the longest matching prefix on a host.
--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -348,7 +348,7 @@
         job = self.job
         customer = job.customer
         version = self._expected_version(choice)
-        job.cache_scope = _cache_scope(customer, version)
+        job.cache_scope = self._cache_scope(version)
         return Forwarding(
             server=choice.server,
             customer=customer.name if customer is not None else None,
@@ -360,6 +360,18 @@
             resume_after=job.resume_after,
         )
 
+    def _cache_scope(self, version):
+        """Return the scope of the prompt's cached prefixes, None if it has no prompt.
+
+        Because the scope names the version, an engine never finds prefixes that were
+        computed with other weights, whichever cache it fetches them from.
+        """
+        job = self.job
+        if not job.metadata.is_generation:
+            return None
+        scope = self.context.view.configuration.cache_scope(job.customer)
+        return f"{scope}/{'' if version is None else version}"
+
     def _expected_version(self, choice):
         """Return the weights that a server must have for the request, or None.
 
@@ -442,18 +454,6 @@
         )
 
 
-def _cache_scope(customer, version):
-    """Return the scope of cached prefixes: one version, and one customer if isolated.
-
-    Because the scope names the version, an engine never finds prefixes that were
-    computed with other weights, whichever cache it fetches them from.
-    """
-    if version is None:
-        return None
-    isolated = customer is not None and customer.isolated
-    return f"{customer.name if isolated else ''}/{version}"
-
-
 # The failures by which a gateway may notice that a server has crashed.
 _CRASH_FAILURES = frozenset(
     {
--- a/src/cassiaford/gateway/_placer.py
+++ b/src/cassiaford/gateway/_placer.py
@@ -367,7 +367,7 @@
         return self.view.named_versions.replaced_for_s(metadata.model, version, now)
 
     def _generation(self, metadata, customer, target_s=0.0):
-        scope = customer.name if customer is not None and customer.isolated else ""
+        scope = self.view.configuration.cache_scope(customer)
         key = f"{metadata.model}|{scope}"
         prefixes = []
         tokens = 0
