--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -113,6 +113,7 @@
         self.services = ServicePlacer()
         self.health = ServerHealth()
         self.rates = FleetRates(self.settings.rate_window_s)
+        self.rates.on_settlement = self._log_settlement
         self.table = PeerTable()
         self.view = View(self.adapter.records, self.rates, self.log)
         self.rollout = Rollout(self.view.named_versions, self.settings.weights_within_s)
@@ -404,6 +405,17 @@
         self.engines.remove_peer(name)
         self.services.remove_peer(name)
 
+    def _log_settlement(self, settlement):
+        self.log.write(
+            Event.RESERVE_SETTLED,
+            customer=settlement.customer,
+            peer=settlement.peer,
+            reserved=round(settlement.reserved),
+            spent=round(settlement.spent),
+            incarnation_known=settlement.incarnation_known,
+            left=round(settlement.level),
+        )
+
     def _update_readiness(self):
         if self.state.ready != self.ready:
             self.state = self.peers.state = replace(self.state, ready=self.ready)
--- a/src/cassiaford/gateway/policy/__init__.py
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -11,7 +11,11 @@
     Placement,
 )
 from cassiaford.gateway.policy._engine_queue import PlacedWork
-from cassiaford.gateway.policy._fleet_rates import FleetRates, Limit
+from cassiaford.gateway.policy._fleet_rates import (
+    FleetRates,
+    Limit,
+    ReserveSettlement,
+)
 from cassiaford.gateway.policy._generation import GenerationRequest, Prefix
 from cassiaford.gateway.policy._late_requests import WaitingPrompts, should_wait
 from cassiaford.gateway.policy._load_times import LoadTimes
@@ -44,6 +48,7 @@
     "NamedVersions",
     "PeerState",
     "PeerTable",
+    "ReserveSettlement",
     "PlacedWork",
     "Placement",
     "PlainServer",
--- a/src/cassiaford/gateway/policy/_fleet_rates.py
+++ b/src/cassiaford/gateway/policy/_fleet_rates.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 # A peer without a report for this long, which is three lost reports, is
@@ -28,6 +28,8 @@
 # such as a booking is worth more than the tokens that it takes.
 SMALL_REQUEST_FRACTION = 0.02
 SMALL_REQUEST_DEBT_FRACTION = 0.4
+# Smaller reserves, as fractions of the burst, are settled without a report.
+MIN_REPORTED_RESERVE_FRACTION = 0.02
 # Callers wait only for a part of their deadline and would not retry later.
 MAX_RETRY_AFTER_S = 2.0
 
@@ -56,6 +58,22 @@
         return Limit(self.rate + (self.burst - immediate) / window_s, immediate)
 
 
+@dataclass(frozen=True)
+class ReserveSettlement:
+    """What became of a silent peer's reserve when the peer was heard.
+
+    `reserved` tokens were kept for the peer, which has `spent` some of them as far
+    as is known. `incarnation_known` is whether its incarnation was heard before.
+    """
+
+    customer: str
+    peer: str
+    reserved: float
+    spent: float
+    incarnation_known: bool
+    level: float
+
+
 class _Bucket:
     """The fleet's tokens for one customer, as this instance estimates them."""
 
@@ -116,6 +134,10 @@
         self.refunded += tokens
 
     def update_from_peer(self, peer, incarnation, spent):
+        """Count a peer's spending; return its reserve, what it spent, if it was known.
+
+        A peer is known if its incarnation was heard before.
+        """
         known_incarnation, before = self.peer_spent.get(peer, (None, 0.0))
         if known_incarnation is None:
             # It is unknown when the spending before the first report occurred.
@@ -123,12 +145,13 @@
         elif known_incarnation != incarnation:
             before = 0.0
         if known_incarnation == incarnation and spent < before:
-            return
+            return 0.0, 0.0, True
         self.peer_spent[peer] = (incarnation, spent)
         reserved = self.reserved.pop(peer, 0.0)
         self.level = min(self.limit.burst, self.level + reserved + before - spent)
         # What was spent a window ago no longer counts.
         self.level = max(self.level, -self.limit.rate * self.window_s)
+        return reserved, spent - before, known_incarnation == incarnation
 
 
 class FleetRates:
@@ -154,6 +177,7 @@
         self.configured = False
         # The peers from which a whole report came since the first configuration.
         self.incarnations: dict[str, int] = {}
+        self.on_settlement: Callable[[ReserveSettlement], None] = lambda settled: None
         self._silent: tuple[str, ...] = ()
         self._next_silence_at = -math.inf
 
@@ -207,7 +231,8 @@
             bucket = self.buckets.get(customer)
             if bucket is not None:
                 self._advance(bucket, now)
-                bucket.update_from_peer(peer, incarnation, amount)
+                settled = bucket.update_from_peer(peer, incarnation, amount)
+                self._report_settlement(customer, peer, bucket, settled)
         self.last_report_at[peer] = now
         if peer in self._silent:
             self._next_silence_at = -math.inf
@@ -273,6 +298,13 @@
         buckets = self.buckets | self.removed
         return {name: b.spent for name, b in buckets.items() if b.spent}
 
+    def _report_settlement(self, customer, peer, bucket, settled):
+        reserved, spent, known = settled
+        if reserved > MIN_REPORTED_RESERVE_FRACTION * bucket.limit.burst:
+            self.on_settlement(
+                ReserveSettlement(customer, peer, reserved, spent, known, bucket.level)
+            )
+
     def _new_bucket(self, limit, now):
         """Return a customer's bucket; peers that were heard had not spent from it."""
         bucket = _Bucket(limit, self.window_s, now)
--- a/src/cassiaford/logs/_catalogue.py
+++ b/src/cassiaford/logs/_catalogue.py
@@ -80,6 +80,7 @@
     SHARES_SUSPENDED = (1501, Level.WARNING, "rate shares unused after a pause")
     SHARES_RESUMED = (1502, Level.INFO, "rate shares in use again")
     LEDGER_WRITTEN = (1503, Level.INFO, "ledger of rate shares written")
+    RESERVE_SETTLED = (1504, Level.INFO, "silent peer's part of a rate settled")
 
     # 16xx: claims.
     CLAIM_OUTCOME_LOST = (1601, Level.WARNING, "outcome of a claim not recorded")
