--- a/src/cassiaford/gateway/_peers.py
+++ b/src/cassiaford/gateway/_peers.py
@@ -89,6 +89,8 @@
         self._skipped = 0
         self._unreported_s = 0.0
         self._version_unreported = False
+        # A peer that has just started knows nothing; its next report may be far off.
+        self._peer_started = False
         self._rounds = itertools.count()
         self._now = asyncio.get_running_loop().time
 
@@ -177,7 +179,8 @@
         if self.transport is None or self.transport.is_closing():
             return
         self._unreported_s = 0.0
-        whole = next(self._rounds) % WHOLE_EVERY_REPORTS == 0
+        whole = next(self._rounds) % WHOLE_EVERY_REPORTS == 0 or self._peer_started
+        self._peer_started = False
         work = self._work()
         spending = {digest(n): round(t) for n, t in self.rates.spent().items()}
         placements = tuple(self.engines.prefix_locations.pop_unreported())
@@ -252,6 +255,8 @@
         if state is None:
             return
         name = state.name
+        if self.table.is_new(state):
+            self._peer_started = True
         self.table.update_from_peer(state, now)
         if report.prefill_speed:
             self.engines.speed.update_from_peer(name, report.prefill_speed)
--- a/src/cassiaford/gateway/_registration.py
+++ b/src/cassiaford/gateway/_registration.py
@@ -14,8 +14,9 @@
 from cassiaford.gateway.policy import PeerState
 
 # Time until the entry of a lost instance is removed; the reports between
-# instances detect the loss sooner. The lease survives two lost renewals.
-LEASE_S = 6.0
+# instances detect the loss sooner. An instance that is cut off keeps its entry for
+# this long, so that those that restart meanwhile leave it its part of the rates.
+LEASE_S = 20.0
 RENEWAL_INTERVAL_S = 2.0
 # Interval at which an instance looks whether it has to register again, and the
 # longest time that it then waits, so that not all instances write at once.
--- a/src/cassiaford/gateway/policy/_fleet_rates.py
+++ b/src/cassiaford/gateway/policy/_fleet_rates.py
@@ -14,6 +14,9 @@
 # A peer without a report for this long, which is three lost reports, is
 # assumed to spend its share.
 PEER_SILENCE_TIMEOUT_S = 0.6
+# A peer that starts, or that hears of this instance's start, sends a whole report
+# within this time if it is not cut off.
+FIRST_REPORT_TIMEOUT_S = 1.2
 # The window in which a customer's spending is bounded, if settings give no other.
 DEFAULT_WINDOW_S = 8.0
 # Fraction of the burst that may be spent immediately. The rest is spread over the
@@ -133,10 +136,12 @@
         self.level = min(self.limit.burst, self.level + tokens)
         self.refunded += tokens
 
-    def update_from_peer(self, peer, incarnation, spent):
+    def update_from_peer(self, peer, incarnation, spent, silence_s):
         """Count a peer's spending; return its reserve, what it spent, if it was known.
 
-        A peer is known if its incarnation was heard before.
+        A peer is known if its incarnation was heard before. What another one, or
+        its predecessor, spent in a long silence is unknown, so its reserve may be
+        gone.
         """
         known_incarnation, before = self.peer_spent.get(peer, (None, 0.0))
         if known_incarnation is None:
@@ -148,7 +153,10 @@
             return 0.0, 0.0, True
         self.peer_spent[peer] = (incarnation, spent)
         reserved = self.reserved.pop(peer, 0.0)
-        self.level = min(self.limit.burst, self.level + reserved + before - spent)
+        gained = reserved + before - spent
+        if known_incarnation != incarnation and silence_s > FIRST_REPORT_TIMEOUT_S:
+            gained = min(0.0, gained)
+        self.level = min(self.limit.burst, self.level + gained)
         # What was spent a window ago no longer counts.
         self.level = max(self.level, -self.limit.rate * self.window_s)
         return reserved, spent - before, known_incarnation == incarnation
@@ -173,6 +181,7 @@
         # Totals go on if a customer returns: a peer may have seen no removal.
         self.removed: dict[str, _Bucket] = {}
         self.last_report_at: dict[str, float] = {}
+        self.member_since: dict[str, float] = {}
         self.members: frozenset[str] = frozenset()
         self.configured = False
         # The peers from which a whole report came since the first configuration.
@@ -205,9 +214,10 @@
         self.members = frozenset(peers)
         self._next_silence_at = -math.inf
         for peer in self.members:
-            self.last_report_at.setdefault(peer, now)
-        for peer in set(self.last_report_at) - self.members:
-            del self.last_report_at[peer]
+            self.member_since.setdefault(peer, now)
+        for peer in set(self.member_since) - self.members:
+            del self.member_since[peer]
+            self.last_report_at.pop(peer, None)
             self.incarnations.pop(peer, None)
 
     def update_from_peer(
@@ -227,11 +237,12 @@
             spent = dict.fromkeys(self.buckets, 0.0) | spent
             if self.configured:
                 self.incarnations[peer] = incarnation
+        silence_s = now - self._last_contact_at(peer, now)
         for customer, amount in spent.items():
             bucket = self.buckets.get(customer)
             if bucket is not None:
                 self._advance(bucket, now)
-                settled = bucket.update_from_peer(peer, incarnation, amount)
+                settled = bucket.update_from_peer(peer, incarnation, amount, silence_s)
                 self._report_settlement(customer, peer, bucket, settled)
         self.last_report_at[peer] = now
         if peer in self._silent:
@@ -314,13 +325,17 @@
     def _advance(self, bucket, now):
         bucket.advance(now, self._silent_peers(now), len(self.members) + 1)
 
+    def _last_contact_at(self, peer, now):
+        """Return when a peer was heard last, or else when it became a member."""
+        return self.last_report_at.get(peer, self.member_since.get(peer, now))
+
     def _silent_peers(self, now):
         """Return the peers without a recent report.
 
         They are determined anew only once one of the others may have become silent.
         """
         if now > self._next_silence_at:
-            last = {peer: self.last_report_at.get(peer, now) for peer in self.members}
+            last = {p: self.last_report_at.get(p, -math.inf) for p in self.members}
             self._silent = tuple(
                 peer for peer, at in last.items() if now - at > PEER_SILENCE_TIMEOUT_S
             )
--- a/src/cassiaford/gateway/policy/_peer_table.py
+++ b/src/cassiaford/gateway/policy/_peer_table.py
@@ -6,7 +6,8 @@
 # longer listed in the directory for callers.
 LIVENESS_TIMEOUT_S = 1.2
 # A peer whose entry is gone from the store may still run, since entries also
-# lapse while the store fails.
+# lapse while the store fails or the peer is cut off from it, and an instance that
+# has just started has not heard such a peer.
 UNREGISTERED_TTL_S = 20.0
 
 
@@ -61,6 +62,13 @@
         if name in self.peers:
             self.peers[name].registered = False
 
+    def is_new(self, state: PeerState) -> bool:
+        """Return whether an incarnation has not been heard yet."""
+        peer = self.peers.get(state.name)
+        if peer is None or peer.last_report_at is None:
+            return True
+        return state.incarnation > peer.state.incarnation
+
     def update_from_peer(self, state: PeerState, now: float) -> None:
         """Apply a peer's report, unless it is of an earlier incarnation."""
         peer = self.peers.get(state.name)
@@ -76,7 +84,7 @@
         gone = [
             name
             for name, peer in self.peers.items()
-            if not peer.registered and now - peer.last_contact_at > _ttl_s(peer)
+            if not peer.registered and now - peer.last_contact_at > UNREGISTERED_TTL_S
         ]
         for name in gone:
             del self.peers[name]
@@ -98,7 +106,3 @@
     def all(self) -> list[PeerState]:
         """Return every peer to which reports are sent."""
         return [peer.state for peer in self.peers.values()]
-
-
-def _ttl_s(peer):
-    return LIVENESS_TIMEOUT_S if peer.last_report_at is None else UNREGISTERED_TTL_S
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -92,6 +92,20 @@
                 fleet.run(SPAN_S)
                 self.assertGreaterEqual(fleet.meter.min_level, -ROUNDING_ERROR)
 
+    def test_a_restart_in_a_cut_spends_nothing_twice(self):
+        for seed in seeds(SCHEDULES):
+            with self.subTest(seed=seed):
+                fleet = self.run_fleet(seed)
+                nodes = list(fleet.nodes.values())
+                cut_off = {node.name for node in nodes[: seed % 3 + 1]}
+                fleet.at(10.0, lambda f=fleet, c=cut_off: setattr(f, "partitioned", c))
+                for node in nodes:
+                    if node.name not in cut_off or seed % 4 == 0:
+                        fleet.at(12.0, functools.partial(fleet.crash, node))
+                fleet.at(20.0, lambda f=fleet: setattr(f, "partitioned", set()))
+                fleet.run(SPAN_S)
+                self.assertGreaterEqual(fleet.meter.min_level, -ROUNDING_ERROR)
+
     def test_a_resumed_holder_that_was_replaced_uses_nothing(self):
         for seed in seeds(SCHEDULES):
             with self.subTest(seed=seed):
