--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -159,6 +159,7 @@
         allowed_s = route.timeout_s
         if metadata.deadline_s is not None:
             allowed_s = min(allowed_s, metadata.deadline_s)
+            self.view.record_deadline(metadata.deadline_s)
         job = Job(
             request=request,
             metadata=metadata,
--- a/src/cassiaford/gateway/_stream_origins.py
+++ b/src/cassiaford/gateway/_stream_origins.py
@@ -7,7 +7,8 @@
 from cassiaford.gateway._view import View
 from cassiaford.origins import StreamOrigin, origin_of
 
-# All tries of a caller together may take longer than the route allows for one.
+# A caller's streams may last longer than the route allows for one attempt, also if
+# it states no deadline.
 LONGEST_REQUEST_FACTOR = 2.0
 
 
@@ -45,8 +46,10 @@
 
     def find(self, route: Route, now: float) -> StreamOrigin | None:
         """Return the origin of any stream of a route, or None if uncertain."""
-        # A stream that began before a timeout was lowered may last for longer.
-        begun_after = now - LONGEST_REQUEST_FACTOR * self.view.longest_timeout_s
+        # A stream that began before a timeout was lowered may last for longer, and a
+        # caller may take its stream up again and again until its own deadline.
+        longest_s = LONGEST_REQUEST_FACTOR * self.view.longest_timeout_s
+        begun_after = now - max(longest_s, self.view.longest_deadline_s)
         if not self.in_touch_since(begun_after):
             return None
         if not self.view.recent_targets.has_since(route.name, begun_after):
--- a/src/cassiaford/gateway/_view.py
+++ b/src/cassiaford/gateway/_view.py
@@ -32,6 +32,9 @@
 REGISTRATION_S = 1.0
 # A server that refused a connection may have been reached again this much later.
 REFUSAL_S = 2.0
+# Callers that state longer deadlines than this must not keep others' streams from
+# being taken up.
+MAX_DEADLINE_S = 120.0
 # Peers may know models of which this instance has read nothing yet.
 MAX_UNREAD_MODELS = 64
 
@@ -52,7 +55,8 @@
     `replaced_keys` are the servers whose address another server has taken over
     before their entries are gone. `recent_software` has the software versions of
     each service lately, and `recent_targets` the services of each route;
-    `longest_timeout_s` is that of any route so far. The gateway sets the callbacks,
+    `longest_timeout_s` is that of any route so far, and `longest_deadline_s` the
+    longest time that a caller was ready to wait. The gateway sets the callbacks,
     `is_reading`, which returns whether a change may have been made long before it
     was read, and `servers_age_s`, which returns when the servers were last read.
     """
@@ -72,6 +76,7 @@
         self.recent_software = RecentValues()
         self.recent_targets = RecentValues()
         self.longest_timeout_s = 0.0
+        self.longest_deadline_s = 0.0
         self.refused_at: dict[int, float] = {}
         self.outage_cause = ""
         self.outage_began_at = -math.inf
@@ -141,6 +146,11 @@
             return False
         return self._read_at() < refused_at + REFUSAL_S + REGISTRATION_S
 
+    def record_deadline(self, deadline_s: float) -> None:
+        """Record how long a caller waits, over all its attempts."""
+        deadline_s = min(deadline_s, MAX_DEADLINE_S)
+        self.longest_deadline_s = max(self.longest_deadline_s, deadline_s)
+
     def origin_of(self, server: BackendServer) -> StreamOrigin | None:
         """Return the origin of a stream that begins now, or None if uncertain."""
         key = f"{self.decoder.servers_prefix}{server.server_id}"
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -67,6 +67,7 @@
             recent_software=self.software,
             recent_targets=self.targets,
             longest_timeout_s=ROUTE.timeout_s,
+            longest_deadline_s=0.0,
         )
         self.origins = SoleOrigins(view, lambda since: self.in_touch_since <= since)
         self.software.update({"engine": {"v1"}}, 0.0)
