--- a/src/cassiaford/_event_splitter.py
+++ b/src/cassiaford/_event_splitter.py
@@ -7,7 +7,7 @@
 import re
 
 # A longer event means that the stream is broken.
-MAX_EVENT_BYTES = 4 * 1024 * 1024
+MAX_EVENT_BYTES = 262_144
 
 _END_OF_EVENT = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 
--- a/src/cassiaford/_json_calls.py
+++ b/src/cassiaford/_json_calls.py
@@ -6,13 +6,18 @@
 
 import json
 from dataclasses import dataclass, field
+from http.client import HTTPException, HTTPResponse
 
 import urllib3
+from urllib3 import HTTPConnectionPool
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 # Each address has a pool; beyond this number the least recently used is closed.
 MAX_POOLS = 1024
 MAX_IDLE_CONNECTIONS_PER_POOL = 16
+# The longest responses are values of the key-value service.
+MAX_RESPONSE_BYTES = 16_777_216
 
 
 class CallError(Exception):
@@ -46,18 +51,72 @@
             raise ResponseLostError(f"the response is not JSON: {error}") from None
 
 
+class _LimitedReader:
+    """A socket's file that fails once more than a number of bytes were read."""
+
+    def __init__(self, file, max_bytes):
+        self._file = file
+        self._bytes_left = max_bytes
+
+    def read(self, size=-1):
+        limit = self._bytes_left + 1
+        return self._count(self._file.read(limit if size is None or size < 0 else size))
+
+    def read1(self, size=-1):
+        return self._count(self._file.read1(size))
+
+    def readline(self, size=-1):
+        return self._count(self._file.readline(size))
+
+    def readinto(self, buffer):
+        size = self._file.readinto(buffer)
+        self._take(size or 0)
+        return size
+
+    def __getattr__(self, name):
+        return getattr(self._file, name)
+
+    def _count(self, data):
+        self._take(len(data))
+        return data
+
+    def _take(self, size):
+        self._bytes_left -= size
+        if self._bytes_left < 0:
+            raise HTTPException("the response is too long")
+
+
+def _limited_pool(max_bytes):
+    """Return a class of connection pools that limits the bytes of a response."""
+
+    class LimitedResponse(HTTPResponse):
+        def __init__(self, *arguments, **options):
+            super().__init__(*arguments, **options)
+            self.fp = _LimitedReader(self.fp, max_bytes)
+
+    class LimitedConnection(HTTPConnection):
+        response_class = LimitedResponse
+
+    class LimitedPool(HTTPConnectionPool):
+        ConnectionCls = LimitedConnection
+
+    return LimitedPool
+
+
 class JsonClient:
     """Sends JSON calls over pooled connections; thread-safe.
 
     It never retries, because only the code that makes a call knows whether the
-    call may be repeated.
+    call may be repeated. A response of more than `max_bytes`, with its head, interim
+    responses and trailers, is lost.
     """
 
-    def __init__(self, timeout_s: float):
+    def __init__(self, timeout_s: float, max_bytes: int = MAX_RESPONSE_BYTES):
         self.timeout_s = timeout_s
         self.pools = urllib3.PoolManager(
             num_pools=MAX_POOLS, maxsize=MAX_IDLE_CONNECTIONS_PER_POOL, retries=False
         )
+        self.pools.pool_classes_by_scheme = {"http": _limited_pool(max_bytes)}
 
     def call(
         self,
--- a/src/cassiaford/engines/_http.py
+++ b/src/cassiaford/engines/_http.py
@@ -19,11 +19,13 @@
 
 # The status of an engine's response to the cancellation of an unknown request.
 NOT_FOUND = 404
+# The longest responses are cache events, some hundred bytes each.
+MAX_REPORT_BYTES = 4_194_304
 
 
 def create_engine_control(timeout_s: float) -> EngineControl:
     """Return a control client whose calls time out after `timeout_s`."""
-    return HttpEngineControl(JsonClient(timeout_s))
+    return HttpEngineControl(JsonClient(timeout_s, MAX_REPORT_BYTES))
 
 
 class HttpEngineControl(EngineControl):
--- a/src/cassiaford/gateway/_http_caller.py
+++ b/src/cassiaford/gateway/_http_caller.py
@@ -11,7 +11,7 @@
 )
 from cassiaford.verdict import Failure
 
-# Pages of the store, the longest responses, have about a megabyte.
+# Pages of the store have about a megabyte, copies of it several.
 MAX_BODY_BYTES = 16_777_216
 _DISCONNECTIONS = frozenset({Failure.RESET_BEFORE_RESPONSE, Failure.TRUNCATED_RESPONSE})
 
@@ -39,10 +39,11 @@
 
 
 class HttpClient:
-    """Makes calls over pooled connections."""
+    """Makes calls over pooled connections; longer bodies are no response."""
 
-    def __init__(self, pool: ConnectionPool):
+    def __init__(self, pool: ConnectionPool, max_body_bytes: int = MAX_BODY_BYTES):
         self.pool = pool
+        self.max_body_bytes = max_body_bytes
 
     async def call(
         self,
@@ -61,7 +62,7 @@
                 lines = [("Host", address), *headers]
                 connection.start(request_bytes(method, target, lines, data))
                 head = await connection.head()
-                body, complete = await connection.body(MAX_BODY_BYTES)
+                body, complete = await connection.body(self.max_body_bytes)
                 if not complete:
                     raise ExchangeError(Failure.INVALID_RESPONSE, "body too long")
                 reply = Reply(head.status, body, head.headers)
--- a/src/cassiaford/gateway/_server_connection.py
+++ b/src/cassiaford/gateway/_server_connection.py
@@ -16,6 +16,12 @@
 # Heads, trailers and chunk headers are far shorter; more bytes without any of a body
 # are no response.
 MAX_OVERHEAD_BYTES = 262_144
+# Headers of one response, its trailers included.
+MAX_HEADER_BYTES = 65_536
+# Bodies of late responses to other requests that are skipped in one exchange.
+MAX_SKIPPED_BYTES = 1_048_576
+# Memory that a header or a chunk takes beside its bytes.
+OBJECT_BYTES = 64
 # Connecting takes milliseconds within a region; TCP resends a lost SYN after a
 # second, which is too late to wait for.
 CONNECT_TIMEOUT_S = 0.5
@@ -67,6 +73,10 @@
         return int(value) if value is not None and value.isdigit() else None
 
 
+class _TooLongError(Exception):
+    """A response has more bytes than any that makes sense."""
+
+
 class ServerConnection(asyncio.Protocol):
     """Carries one exchange at a time over a connection to a server."""
 
@@ -81,6 +91,8 @@
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered = 0
         self._overhead = 0
+        self._header_bytes = 0
+        self._skipped_bytes = 0
         self._in_exchange = False
         self._sent = False
         self._accepts: Callable[[ResponseHead], bool] | None = None
@@ -96,11 +108,12 @@
 
     def data_received(self, data):
         """Parse bytes, or close the connection if no exchange expects them."""
-        if not self._in_exchange:
+        if not self._in_exchange or self._complete:
             self.close()
             return
         self._overhead += len(data)
         try:
+            # Exceptions of the callbacks below are among these errors.
             self.parser.feed_data(data)
         except httptools.HttpParserError:
             self._reject_response()
@@ -110,9 +123,9 @@
 
     def _reject_response(self):
         self.usable = False
-        if self._in_exchange and not self._complete:
+        if not self._complete:
             self._fail(Failure.INVALID_RESPONSE)
-            self.transport.abort()
+        self.transport.abort()
 
     def eof_received(self):
         """Complete a response that is delimited by the end of the connection."""
@@ -140,6 +153,7 @@
             self.usable = False
         self._reason = ""
         self._headers = []
+        self._header_bytes = 0
         self._skipping = False
 
     def on_status(self, status):
@@ -148,11 +162,13 @@
 
     def on_header(self, name, value):
         """Collect a header."""
+        self._header_bytes += len(name) + len(value) + OBJECT_BYTES
+        if self._header_bytes > MAX_HEADER_BYTES:
+            raise _TooLongError("the headers are too long")
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self):
         """Store the head unless it is interim or belongs to another request."""
-        self._overhead = 0
         status = self.parser.get_status_code()
         if self._complete or status < 200:
             self._skipping = True
@@ -162,6 +178,7 @@
             self._skipping = True
             return
         self._head = head
+        self._overhead = 0
         chunked = "chunked" in (head.header("transfer-encoding") or "").lower()
         has_body = status not in (204, 304)
         self._until_close = has_body and not chunked and head.length is None
@@ -171,15 +188,23 @@
 
     def on_body(self, body):
         """Collect a part of the body."""
-        self._overhead = 0
         if self._skipping:
+            self._skip(len(body))
             return
+        self._overhead = 0
         self._chunks.append(body)
-        self._buffered += len(body)
+        self._buffered += len(body) + OBJECT_BYTES
         if self._buffered > MAX_UNREAD_BYTES:
             self.transport.pause_reading()
         self._wake()
 
+    def _skip(self, size):
+        """Count the bytes of a response that belongs to another request."""
+        self._overhead = max(0, self._overhead - size)
+        self._skipped_bytes += size
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            raise _TooLongError("responses to other requests are too long")
+
     def on_message_complete(self):
         """Complete the response."""
         if self._skipping:
@@ -274,6 +299,7 @@
         self._chunks.clear()
         self._buffered = 0
         self._overhead = 0
+        self._skipped_bytes = 0
 
     def _raise_if_failed(self):
         if self._failure is not None:
--- a/src/cassiaford/pipeline/_response.py
+++ b/src/cassiaford/pipeline/_response.py
@@ -11,6 +11,16 @@
 # Statuses below this belong to interim responses; another response follows.
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset({204, 304})
+# Heads, trailers and chunk headers are far shorter; more bytes without any of a body
+# are no response.
+MAX_OVERHEAD_BYTES = 262_144
+# Headers of one response, its trailers included, with the memory that each takes.
+MAX_HEADER_BYTES = 65_536
+OBJECT_BYTES = 64
+
+
+class ResponseTooLongError(httptools.HttpParserError):
+    """A response has more bytes outside its body than any that makes sense."""
 
 
 @dataclass(frozen=True)
@@ -79,11 +89,17 @@
         self.headers = []
         self.head = None
         self.complete = False
+        self.overhead = 0
+        self.header_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse bytes; raise `httptools.HttpParserError` if they are invalid."""
-        if not self.complete:
-            self.parser.feed_data(data)
+        if self.complete:
+            return
+        self.overhead += len(data)
+        self.parser.feed_data(data)
+        if self.overhead > MAX_OVERHEAD_BYTES and not self.complete:
+            raise ResponseTooLongError("too many bytes outside a body")
 
     def feed_eof(self) -> None:
         """Process the end of the connection."""
@@ -92,6 +108,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header."""
+        self.header_bytes += len(name) + len(value) + OBJECT_BYTES
+        if self.header_bytes > MAX_HEADER_BYTES:
+            raise ResponseTooLongError("the headers are too long")
         text = value.decode("latin-1")
         self.headers.append(Header(name.decode("latin-1").lower(), text))
 
@@ -102,12 +121,14 @@
         if status < FIRST_FINAL_STATUS:
             return
         self.head = ResponseHead(status, headers)
+        self.overhead = 0
         self.listener.on_response_head(self.head)
         if self.method == "HEAD" or status in BODILESS_STATUSES:
             self._end()
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the listener."""
+        self.overhead = 0
         if not self.complete:
             self.listener.on_response_body(data)
 
--- a/src/cassiaford/platform/_engines.py
+++ b/src/cassiaford/platform/_engines.py
@@ -19,6 +19,8 @@
 
 # Engines send reports within milliseconds over any link: a report takes no slot.
 TIMEOUT_S = 0.6
+# A report has a row for each running request.
+MAX_REPORT_BYTES = 262_144
 _RESPONSES_BY_STATUS = {
     202: OrderResponse.ACCEPTED,
     200: OrderResponse.ALREADY_LOADED,
--- a/src/cassiaford/platform/_start.py
+++ b/src/cassiaford/platform/_start.py
@@ -9,7 +9,7 @@
 from cassiaford.logs import NonBlockingStream, configure_logging
 from cassiaford.platform._dialect import PlatformDialect
 from cassiaford.platform._directory import PlatformDirectory, PlatformProbe
-from cassiaford.platform._engines import PlatformEngineControl
+from cassiaford.platform._engines import MAX_REPORT_BYTES, PlatformEngineControl
 from cassiaford.platform._records import PlatformRecordDecoder
 from cassiaford.platform._settings import PATH_VARIABLE, read_settings
 from cassiaford.platform._store import PlatformStore
@@ -24,7 +24,7 @@
         directory=PlatformDirectory(),
         probe=PlatformProbe(),
         store=PlatformStore(store_address, client),
-        control=PlatformEngineControl(client),
+        control=PlatformEngineControl(HttpClient(pool, MAX_REPORT_BYTES)),
         pool=pool,
     )
 
