--- a/src/cassiaford/gateway/_exchange.py
+++ b/src/cassiaford/gateway/_exchange.py
@@ -58,12 +58,20 @@
         self.instances = instances
         self.chooser = ServerChooser(job, context, instances or 1)
         self.loop = asyncio.get_running_loop()
+        self.stopped = False
+        self._timeout: asyncio.Timeout | None = None
+
+    def stop(self) -> None:
+        """Have the exchange end now, since the instance does."""
+        self.stopped = True
+        if self._timeout is not None and not self._timeout.expired():
+            self._timeout.reschedule(self.loop.time())
 
     async def run(self) -> Refusal | None:
         """Serve the request; return a refusal if nothing of it was served."""
         job = self.job
         try:
-            async with asyncio.timeout_at(job.deadline):
+            async with asyncio.timeout_at(job.deadline) as self._timeout:
                 if job.taken_up:
                     refusal = await self._find_origin()
                     if refusal is not None:
@@ -72,6 +80,8 @@
                 budget.record_request(self.loop.time())
                 return await self._send_until_served(budget)
         except TimeoutError:
+            if self.stopped:
+                return self._stop_refusal()
             job.failure = Failure.REQUEST_TIMEOUT
             return self._failure_refusal(RefusalReason.BACKEND_TIMEOUT)
 
@@ -109,6 +119,8 @@
             now = self.loop.time()
             if choice is None:
                 return self._no_server_refusal(now)
+            if not self._can_finish(choice, now):
+                return self._stop_refusal()
             if job.sends and not budget.take(now, self.instances):
                 return self._failure_refusal(RefusalReason.RETRIES_EXHAUSTED)
             if await self._run_attempt(choice) is not _AttemptOutcome.RETRY:
@@ -129,13 +141,16 @@
             job.deadline,
         )
         placer = self.context.placer
-        placer.record_start(choice, job.metadata, job.customer, self.loop.time())
+        started_at = self.loop.time()
+        placer.record_start(choice, job.metadata, job.customer, started_at)
         self.context.view.log_replaced_weights(choice.server, job.metadata.model)
         try:
             response = await self._receive_response(attempt, choice)
             if response is None:
                 return _AttemptOutcome.RETRY
-            return await self._relay(attempt, response, choice)
+            outcome = await self._relay(attempt, response, choice)
+            self.context.stop.record_run(job.route.name, self.loop.time() - started_at)
+            return outcome
         except ExchangeError as error:
             return await self._record_failure(attempt, choice, error)
         finally:
@@ -425,6 +440,20 @@
     def _retry_after_s(self, wait_s):
         return (MIN_RETRY_AFTER_S + wait_s) * (1.0 + self.context.rng.random())
 
+    def _can_finish(self, choice, now):
+        """Return whether the request may end before a stopping instance does."""
+        job = self.job
+        return self.context.stop.can_finish(
+            job.route.name, job.deadline, choice.first_token_s, now
+        )
+
+    def _stop_refusal(self):
+        """Return the refusal of a request that outlasts the instance."""
+        message = "the instance stops before the request could end"
+        if self.job.verdict is Verdict.NOT_RUN:
+            return refuse(RefusalReason.STOPPING, message, 0.0)
+        return Refusal(RefusalReason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, message)
+
     def _failure_refusal(self, reason: RefusalReason | None = None) -> Refusal:
         """Return the refusal of a request whose attempts all failed."""
         job = self.job
--- a/src/cassiaford/gateway/_exchange_context.py
+++ b/src/cassiaford/gateway/_exchange_context.py
@@ -12,7 +12,7 @@
 from cassiaford.gateway._server_connection import ConnectionPool
 from cassiaford.gateway._stream_origins import SoleOrigins, StreamOrigins
 from cassiaford.gateway._view import View
-from cassiaford.gateway.policy import RetryBudget, ServerHealth
+from cassiaford.gateway.policy import RetryBudget, ServerHealth, StopSchedule
 
 
 @dataclass(frozen=True)
@@ -32,3 +32,4 @@
     origins: StreamOrigins
     sole_origins: SoleOrigins
     begun: BegunStreams
+    stop: StopSchedule
--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -24,7 +24,12 @@
 from cassiaford.gateway._settings import RetryLimits
 from cassiaford.gateway._stream_origins import SoleOrigins, StreamOrigins
 from cassiaford.gateway._view import View
-from cassiaford.gateway.policy import FleetRates, RetryBudget, ServerHealth
+from cassiaford.gateway.policy import (
+    FleetRates,
+    RetryBudget,
+    ServerHealth,
+    StopSchedule,
+)
 from cassiaford.logs import Event
 from cassiaford.metrics import Counter, DurationMetric, Label, Metrics
 from cassiaford.verdict import Refusal, RefusalReason, Verdict, refuse
@@ -93,13 +98,14 @@
             origins,
             sole_origins,
             begun,
+            StopSchedule(),
         )
         self.instance_count: Callable[[], int | None] = lambda: 1
         self.state_ages: Callable[[], dict[str, object]] = dict
         self.leaving = False
         self.refusing = False
         self.slack_from = 0.0
-        self.in_progress = 0
+        self.exchanges: set[Exchange] = set()
         self.loop = asyncio.get_running_loop()
 
     @property
@@ -115,15 +121,16 @@
 
     async def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
         """Handle one request."""
-        self.in_progress += 1
-        job = None
+        job = exchange = None
         try:
             admitted = self._admit(request, connection)
             if isinstance(admitted, _Rejection):
                 self._reject(connection, admitted)
                 return
             job = admitted
-            refusal = await Exchange(job, self.context, self.instance_count()).run()
+            exchange = Exchange(job, self.context, self.instance_count())
+            self.exchanges.add(exchange)
+            refusal = await exchange.run()
             if refusal is not None:
                 self._refuse(connection, refusal, job)
             self._record_outcome(job, refusal)
@@ -132,7 +139,17 @@
                 self._record_caller_left(job)
             raise
         finally:
-            self.in_progress -= 1
+            self.exchanges.discard(exchange)
+
+    @property
+    def in_progress(self) -> int:
+        """The number of admitted requests that have not ended."""
+        return len(self.exchanges)
+
+    def end_requests(self) -> None:
+        """Answer the requests in progress now, as far as they have not begun."""
+        for exchange in tuple(self.exchanges):
+            exchange.stop()
 
     def _admit(self, request, connection):
         """Return the job of a request, or its rejection."""
--- a/src/cassiaford/gateway/_gateway.py
+++ b/src/cassiaford/gateway/_gateway.py
@@ -66,6 +66,8 @@
 # the process exits once no request is in progress, at the latest at the second.
 REFUSE_AFTER_FRACTION = 0.3
 END_FRACTION = 0.84
+# Time for callers to read their last answers.
+FLUSH_S = 0.2
 
 
 class Gateway:
@@ -344,9 +346,15 @@
         )
 
     async def _drain(self):
-        """Leave the directory, then finish the accepted requests."""
+        """Leave the directory, then finish the accepted requests.
+
+        What cannot end in time is refused while it has not run, so that its caller
+        sends it elsewhere.
+        """
         started = self.loop.time()
         drain_s = self.settings.drain_s
+        end_at = started + END_FRACTION * drain_s
+        self.front.context.stop.ends_at = end_at
         self.log.write(Event.DRAIN_STARTED, in_progress=self.front.in_progress)
         self.front.leaving = True
         self._update_readiness()
@@ -357,12 +365,15 @@
         self.servers[0].close()
         for connection in tuple(self.connections):
             connection.close_if_idle()
-        end_at = started + END_FRACTION * drain_s
         while self.front.in_progress and self.loop.time() < end_at:
             await asyncio.sleep(0.05)
         cut = self.front.in_progress
         event = Event.DRAIN_CUT_SHORT if cut else Event.DRAIN_FINISHED
         self.log.write(event, cut=cut)
+        self.front.end_requests()
+        flushed_by = self.loop.time() + FLUSH_S
+        while self.connections and self.loop.time() < flushed_by:
+            await asyncio.sleep(0.01)
 
     async def _leave_store(self):
         with contextlib.suppress(TimeoutError):
--- a/src/cassiaford/gateway/policy/__init__.py
+++ b/src/cassiaford/gateway/policy/__init__.py
@@ -31,6 +31,7 @@
 from cassiaford.gateway.policy._rollout import LoadOrder, Rollout, RolloutServer
 from cassiaford.gateway.policy._server_health import ServerHealth
 from cassiaford.gateway.policy._service_placer import PlainServer, ServicePlacer
+from cassiaford.gateway.policy._stop_schedule import StopSchedule
 from cassiaford.gateway.policy._weights_bound import START_MARGIN_S, WeightsBound
 
 __all__ = [
@@ -60,6 +61,7 @@
     "ServerHealth",
     "ServerRegistry",
     "ServicePlacer",
+    "StopSchedule",
     "VersionAge",
     "VersionSource",
     "WaitingPrompts",
