--- a/src/cassiaford/gateway/_front.py
+++ b/src/cassiaford/gateway/_front.py
@@ -147,7 +147,7 @@
         return len(self.exchanges)
 
     def end_requests(self) -> None:
-        """Answer the requests in progress now, as far as they have not begun."""
+        """End the requests in progress; a response that has begun is cut."""
         for exchange in tuple(self.exchanges):
             exchange.stop()
 
--- a/src/cassiaford/gateway/_server_connection.py
+++ b/src/cassiaford/gateway/_server_connection.py
@@ -8,20 +8,18 @@
 
 import httptools
 
+from cassiaford._response_limits import (
+    MAX_HEADER_BYTES,
+    MAX_OVERHEAD_BYTES,
+    OBJECT_BYTES,
+)
 from cassiaford.gateway._messages import Headers
 from cassiaford.verdict import Failure
 
 # Unread bytes of a response's body at which reading from the socket pauses.
 MAX_UNREAD_BYTES = 262_144
-# Heads, trailers and chunk headers are far shorter; more bytes without any of a body
-# are no response.
-MAX_OVERHEAD_BYTES = 262_144
-# Headers of one response, its trailers included.
-MAX_HEADER_BYTES = 65_536
 # Bodies of late responses to other requests that are skipped in one exchange.
 MAX_SKIPPED_BYTES = 1_048_576
-# Memory that a header or a chunk takes beside its bytes.
-OBJECT_BYTES = 64
 # Connecting takes milliseconds within a region; TCP resends a lost SYN after a
 # second, which is too late to wait for.
 CONNECT_TIMEOUT_S = 0.5
--- a/src/cassiaford/pipeline/_response.py
+++ b/src/cassiaford/pipeline/_response.py
@@ -6,17 +6,16 @@
 import httptools
 
 from cassiaford._hop_by_hop import HOP_BY_HOP
+from cassiaford._response_limits import (
+    MAX_HEADER_BYTES,
+    MAX_OVERHEAD_BYTES,
+    OBJECT_BYTES,
+)
 from cassiaford.pipeline._messages import Header
 
 # Statuses below this belong to interim responses; another response follows.
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset({204, 304})
-# Heads, trailers and chunk headers are far shorter; more bytes without any of a body
-# are no response.
-MAX_OVERHEAD_BYTES = 262_144
-# Headers of one response, its trailers included, with the memory that each takes.
-MAX_HEADER_BYTES = 65_536
-OBJECT_BYTES = 64
 
 
 class ResponseTooLongError(httptools.HttpParserError):
